--- /dev/null
+++ b/src/main/java/org/gullway/CloudLoop.java
@@ -0,0 +1,272 @@
+package org.gullway;
+
+import java.time.Duration;
+import java.time.Instant;
+import java.util.ArrayDeque;
+import java.util.ArrayList;
+import java.util.Deque;
+import java.util.HashMap;
+import java.util.HashSet;
+import java.util.LinkedHashMap;
+import java.util.LinkedHashSet;
+import java.util.List;
+import java.util.Map;
+import java.util.Set;
+import org.gullway.coordination.ClusterView;
+import org.gullway.coordination.Draft;
+import org.gullway.coordination.FleetPlan;
+import org.gullway.coordination.Incarnation;
+import org.gullway.coordination.Keys;
+import org.gullway.coordination.MachineRecord;
+import org.gullway.coordination.Placing;
+import org.gullway.protocol.CloudMessages;
+import org.gullway.protocol.CloudMessages.Listed;
+import org.gullway.protocol.MalformedException;
+import org.gullway.transport.EventLoop;
+import org.gullway.transport.HttpClient;
+import org.gullway.transport.Reply;
+import org.slf4j.Logger;
+import org.slf4j.LoggerFactory;
+
+/** Makes the rented machines those that are wanted. Every controller asks for types; only the leader does the rest. */
+final class CloudLoop {
+    private static final Logger LOG = LoggerFactory.getLogger(CloudLoop.class);
+    private static final Duration LIMIT = Duration.ofSeconds(5);
+    private static final Duration TYPES_EVERY = Duration.ofSeconds(30);
+    private static final Duration LIST_EVERY = Duration.ofSeconds(4);
+    private static final Duration GONE_REMEMBERED = Duration.ofMinutes(2);
+
+    private final EventLoop loop;
+    private final HttpClient http;
+    private final String address;
+    private final ClusterView view;
+    private final Placing placing;
+    private final FleetPlan fleet;
+    private final Incarnation self;
+    private final Runnable changed;
+    private final double callsPerSecond;
+    private final Instant started;
+    private Instant typesAt = Instant.MIN;
+    private Instant listedAt = Instant.MIN;
+    private double budget = 1;
+    private Instant budgetAt;
+    private int charters;
+    private boolean returning;
+    private boolean listing;
+    private boolean listedOnce;
+    /** Rentals without an answer yet; each is repeated under its name until it has one. */
+    private final Deque<Pending> rentals = new ArrayDeque<>();
+    /** Machines rented or found that are not on record yet. */
+    private final Map<String, Arrival> arrivals = new LinkedHashMap<>();
+    private final Set<String> failed = new LinkedHashSet<>();
+    private final Map<String, Instant> gone = new HashMap<>();
+
+    private record Pending(String charter, FleetPlan.Rental rental) {
+    }
+
+    private record Arrival(FleetPlan.Rental rental, Instant rented) {
+    }
+
+    CloudLoop(EventLoop loop, HttpClient http, String address, double callsPerSecond, ClusterView view, Placing placing,
+              FleetPlan fleet, Incarnation self, Runnable changed) {
+        this.loop = loop;
+        this.http = http;
+        this.address = address;
+        this.callsPerSecond = callsPerSecond;
+        this.view = view;
+        this.placing = placing;
+        this.fleet = fleet;
+        this.self = self;
+        this.changed = changed;
+        this.started = loop.now();
+        this.budgetAt = started;
+    }
+
+    /** Spends one call of the budget that the controllers share; each takes care to use only a part of it. */
+    private boolean spend() {
+        Instant now = loop.now();
+        double earned = Duration.between(budgetAt, now).toMillis() / 1000.0 * callsPerSecond * 0.6;
+        budget = Math.min(callsPerSecond, budget + earned);
+        budgetAt = now;
+        if (budget < 1) {
+            return false;
+        }
+        budget -= 1;
+        return true;
+    }
+
+    void tick(boolean leading) {
+        Instant now = loop.now();
+        if (!typesAt.plus(placing.types().isEmpty() ? Duration.ofSeconds(1) : TYPES_EVERY).isAfter(now) && spend()) {
+            typesAt = now;
+            askTypes();
+        }
+        if (!leading || placing.types().isEmpty()) {
+            return;
+        }
+        if (!listing && !listedAt.plus(LIST_EVERY).isAfter(now) && spend()) {
+            listing = true;
+            listedAt = now;
+            list("", new ArrayList<>());
+        }
+        giveBack();
+        if (rentals.isEmpty() && arrivals.isEmpty() && listedOnce) {
+            for (FleetPlan.Rental rental : fleet.rentals(now)) {
+                if (!spend()) {
+                    break;
+                }
+                Pending pending = new Pending(
+                        self.node() + "-" + Long.toString(self.number(), 36) + "-" + ++charters, rental);
+                rentals.add(pending);
+                rent(pending);
+            }
+        }
+    }
+
+    private void askTypes() {
+        http.call(address, Reply.Request.get("/flavors", LIMIT), reply -> {
+            try {
+                if (reply.ok()) {
+                    placing.learn(CloudMessages.types(reply.body()));
+                    changed.run();
+                    return;
+                }
+            } catch (MalformedException e) {
+                LOG.error("the cloud's machine types cannot be read: {}", e.getMessage());
+            }
+            typesAt = loop.now().minus(TYPES_EVERY).plusSeconds(1);
+        });
+    }
+
+    private void rent(Pending pending) {
+        FleetPlan.Rental rental = pending.rental();
+        byte[] body = CloudMessages.rental(pending.charter(), rental.type(), rental.zone(), rental.spot(), rental.count());
+        http.call(address, Reply.Request.post("/rentals", body, LIMIT), reply -> {
+            boolean refused = reply.kind() == Reply.Kind.ANSWERED && (reply.status() == 503 || reply.status() == 400);
+            if (!reply.ok() && !refused) {
+                // Under the same name the request rents nothing twice, whether it was carried out or not.
+                loop.after(Duration.ofSeconds(1), () -> {
+                    if (leads()) {
+                        rent(pending);
+                    } else {
+                        rentals.remove(pending);
+                    }
+                });
+                return;
+            }
+            rentals.remove(pending);
+            if (reply.ok()) {
+                try {
+                    List<String> names = CloudMessages.rented(reply.body());
+                    LOG.info("rented {} of {}", names.size(), rental);
+                    names.forEach(name -> arrivals.put(name, new Arrival(rental, null)));
+                    if (names.size() < rental.count()) {
+                        fleet.noCapacity(rental, loop.now());
+                    }
+                    changed.run();
+                } catch (MalformedException e) {
+                    LOG.error("the cloud's answer to {} cannot be read: {}", pending, e.getMessage());
+                }
+            } else {
+                LOG.info("nothing to rent of {}: {}", rental, reply.status());
+                fleet.noCapacity(rental, loop.now());
+            }
+        });
+    }
+
+    private boolean leads() {
+        return self.equals(view.leader());
+    }
+
+    private void giveBack() {
+        if (returning) {
+            return;
+        }
+        Set<String> names = new LinkedHashSet<>(fleet.returns());
+        names.removeAll(gone.keySet());
+        for (String name : failed) {
+            if (view.machine(name) == null) {
+                names.add(name);
+            }
+        }
+        if (names.isEmpty() || !spend()) {
+            return;
+        }
+        List<String> batch = names.stream().limit(CloudMessages.MOST_RETURNED_AT_ONCE).toList();
+        returning = true;
+        http.call(address, Reply.Request.post("/rentals/return", CloudMessages.giveBack(batch), LIMIT), reply -> {
+            returning = false;
+            if (reply.ok()) {
+                LOG.info("returned {}", batch);
+                batch.forEach(name -> {
+                    gone.put(name, loop.now());
+                    failed.remove(name);
+                });
+                changed.run();
+            }
+        });
+    }
+
+    private void list(String from, List<Listed> before) {
+        String path = "/rentals?from=" + from + "&page=" + CloudMessages.PAGE;
+        http.call(address, Reply.Request.get(path, LIMIT), reply -> {
+            listing = false;
+            if (!reply.ok()) {
+                return;
+            }
+            try {
+                CloudMessages.Page page = CloudMessages.page(reply.body());
+                before.addAll(page.machines());
+                if (page.more() && !page.machines().isEmpty()) {
+                    listing = true;
+                    list(page.machines().get(page.machines().size() - 1).name(), before);
+                } else {
+                    listed(before);
+                }
+            } catch (MalformedException e) {
+                LOG.error("the cloud's list cannot be read: {}", e.getMessage());
+            }
+        });
+    }
+
+    private void listed(List<Listed> machines) {
+        listedOnce = true;
+        Instant now = loop.now();
+        gone.values().removeIf(at -> at.plus(GONE_REMEMBERED).isBefore(now));
+        failed.clear();
+        for (Listed machine : machines) {
+            if (machine.failed()) {
+                if (!gone.containsKey(machine.name())) {
+                    failed.add(machine.name());
+                }
+            } else if (view.machine(machine.name()) == null && !gone.containsKey(machine.name())
+                    && !arrivals.containsKey(machine.name())) {
+                arrivals.put(machine.name(), new Arrival(
+                        new FleetPlan.Rental(machine.type(), machine.zone(), machine.spot(), 1),
+                        Instant.now().minus(machine.age())));
+            }
+        }
+        changed.run();
+    }
+
+    /** Puts on record what arrived, what failed and what is gone. */
+    void propose(Draft draft, Instant timeOfDay) {
+        arrivals.keySet().removeIf(name -> view.machine(name) != null);
+        arrivals.forEach((name, arrival) -> {
+            if (draft.hasRoomFor(1)) {
+                FleetPlan.record(draft, name, arrival.rental(), arrival.rented() == null ? timeOfDay : arrival.rented());
+            }
+        });
+        for (String name : failed) {
+            MachineRecord machine = draft.machine(name);
+            if (machine != null && machine.fate() != MachineRecord.Fate.LOST && draft.hasRoomFor(1)) {
+                draft.put(Keys.machine(name), machine.meant(MachineRecord.Fate.LOST));
+            }
+        }
+        for (String name : new HashSet<>(gone.keySet())) {
+            if (view.machine(name) != null && draft.hasRoomFor(1)) {
+                draft.remove(Keys.machine(name));
+            }
+        }
+    }
+}
--- /dev/null
+++ b/src/main/java/org/gullway/Controller.java
@@ -0,0 +1,299 @@
+package org.gullway;
+
+import io.undertow.connector.ByteBufferPool;
+import io.undertow.server.DefaultByteBufferPool;
+import java.io.IOException;
+import java.time.Duration;
+import java.time.Instant;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.SplittableRandom;
+import org.gullway.bookkeeping.Ledger;
+import org.gullway.bookkeeping.StateStore;
+import org.gullway.coordination.BestEffortQueue;
+import org.gullway.coordination.ClusterView;
+import org.gullway.coordination.Draft;
+import org.gullway.coordination.FleetPlan;
+import org.gullway.coordination.Incarnation;
+import org.gullway.coordination.JobPauses;
+import org.gullway.coordination.Keys;
+import org.gullway.coordination.MachineControl;
+import org.gullway.coordination.Membership;
+import org.gullway.coordination.Placing;
+import org.gullway.coordination.Repair;
+import org.gullway.coordination.ReservedBooking;
+import org.gullway.protocol.Cbor;
+import org.gullway.protocol.Command;
+import org.gullway.protocol.MalformedException;
+import org.gullway.protocol.Offer;
+import org.gullway.protocol.OperatorSettings;
+import org.gullway.protocol.Settings;
+import org.gullway.protocol.WorkerReport;
+import org.gullway.transport.EventLoop;
+import org.gullway.transport.HttpClient;
+import org.gullway.transport.HttpServer;
+import org.gullway.transport.HttpServer.Call;
+import org.gullway.transport.Reply;
+import org.slf4j.Logger;
+import org.slf4j.LoggerFactory;
+import org.xnio.OptionMap;
+import org.xnio.Options;
+import org.xnio.Xnio;
+import org.xnio.XnioWorker;
+
+/**
+ * One controller. Whatever happens (a report, a request, a change in the store, the passing of time) asks for a round;
+ * a round compares what is wanted with what is, sends the commands that are due, and commits the changes that are due.
+ */
+final class Controller {
+    private static final Logger LOG = LoggerFactory.getLogger(Controller.class);
+    private static final int BODY_LIMIT = 64 * 1024;
+    private static final Duration TICK = Duration.ofMillis(250);
+    private static final Duration COMMAND_LIMIT = Duration.ofSeconds(4);
+    private static final Duration OFFER_LIMIT = Duration.ofSeconds(2);
+
+    private final Settings settings;
+    private final EventLoop loop;
+    private final HttpClient http;
+    private final ClusterView view = new ClusterView();
+    private final Incarnation self;
+    private final Ledger ledger;
+    private final Placing placing;
+    private final JobPauses pauses = new JobPauses();
+    private final MachineControl machines;
+    private final ReservedBooking booking;
+    private final BestEffortQueue queue;
+    private final Repair repair;
+    private final FleetPlan fleet;
+    private final CloudLoop cloud;
+    private final UserApi users;
+    private final Metrics metrics = new Metrics();
+    private final Map<String, String> meshAddresses = new HashMap<>();
+    private final Draft.Limits limits;
+    private boolean scheduled;
+
+    private Controller(Settings settings, OperatorSettings operator, EventLoop loop, HttpClient http) {
+        this.settings = settings;
+        this.loop = loop;
+        this.http = http;
+        SplittableRandom random = new SplittableRandom(System.nanoTime() ^ settings.nodeName().hashCode());
+        this.self = new Incarnation(settings.nodeName(),
+                (System.currentTimeMillis() << 12 | random.nextInt(1 << 12)) & Long.MAX_VALUE);
+        Membership membership = new Membership(self, operator.membershipLease());
+        this.ledger = new Ledger(loop, new StateStore(http, settings.stateAddress()), view, membership, this::schedule);
+        this.placing = new Placing(settings.teams());
+        Duration report = settings.reportInterval();
+        this.machines = new MachineControl(view, self, report);
+        this.booking = new ReservedBooking(view, placing, pauses);
+        this.queue = new BestEffortQueue(view, placing, pauses, self.node(), report, random.split());
+        this.repair = new Repair(view, self.node(), report.multipliedBy(5), random.split());
+        this.fleet = new FleetPlan(view, placing,
+                new FleetPlan.Policy(operator.spareShare(), operator.idleReturn(), operator.bootPatience()));
+        this.cloud = new CloudLoop(loop, http, settings.cloudAddress(), settings.cloudRequestsPerSecond(), view, placing,
+                fleet, self, this::schedule);
+        this.users = new UserApi(loop, view, ledger, placing, random.split(), metrics, this::schedule);
+        this.limits = new Draft.Limits(settings.stateChangesPerCommit(), settings.stateValueBytes());
+        settings.peers().forEach(peer -> meshAddresses.put(peer.name(), peer.address()));
+        loop.every(operator.logInterval(), this::logFigures);
+    }
+
+    static void start(Settings settings, OperatorSettings operator) throws IOException {
+        XnioWorker worker = Xnio.getInstance().createWorker(OptionMap.builder()
+                .set(Options.WORKER_NAME, "gullway")
+                .set(Options.WORKER_IO_THREADS, 1)
+                .set(Options.WORKER_TASK_CORE_THREADS, 1)
+                .set(Options.WORKER_TASK_MAX_THREADS, 1)
+                .set(Options.TCP_NODELAY, true)
+                .set(Options.REUSE_ADDRESSES, true)
+                .getMap());
+        ByteBufferPool buffers = new DefaultByteBufferPool(false, 8 * 1024, 256, 4);
+        EventLoop loop = new EventLoop(worker.getIoThread());
+        Controller controller = new Controller(settings, operator, loop, new HttpClient(loop, buffers));
+        HttpServer.start(worker, buffers, settings.publicAddress(), BODY_LIMIT, controller::answer);
+        HttpServer.start(worker, buffers, settings.meshAddress(), BODY_LIMIT, controller::answerPeer);
+        loop.execute(() -> {
+            controller.ledger.start();
+            loop.every(TICK, controller::tick);
+        });
+        LOG.info("{} listens on {} and {}", settings.nodeName(), settings.publicAddress(), settings.meshAddress());
+    }
+
+    // Requests
+
+    private void answer(Call call) {
+        String path = call.path();
+        String method = call.method();
+        if (path.equals("/up")) {
+            only("GET", call, () -> {
+                if (ledger.entitled() && !placing.types().isEmpty()) {
+                    call.answer(200, new byte[0]);
+                } else {
+                    call.refuse(503, Duration.ofSeconds(1));
+                }
+            });
+        } else if (path.equals("/agent/beat")) {
+            only("POST", call, () -> report(call));
+        } else if (path.equals("/v2/runs")) {
+            only("POST", call, () -> users.submit(call));
+        } else if (path.startsWith("/v2/runs/")) {
+            String rest = path.substring("/v2/runs/".length());
+            if (rest.endsWith("/withdraw")) {
+                only("POST", call, () -> users.cancel(rest.substring(0, rest.length() - "/withdraw".length()), call));
+            } else {
+                only("GET", call, () -> users.poll(rest, call));
+            }
+        } else {
+            call.answer(404, new byte[0]);
+        }
+    }
+
+    private static void only(String method, Call call, Runnable action) {
+        if (call.method().equals(method)) {
+            action.run();
+        } else {
+            call.answer(405, new byte[0]);
+        }
+    }
+
+    private void report(Call call) {
+        WorkerReport report;
+        try {
+            if (call.body() == null) {
+                throw new MalformedException("the body is larger than allowed");
+            }
+            report = WorkerReport.parse(Cbor.decode(call.body()));
+        } catch (MalformedException e) {
+            LOG.info("a report cannot be read: {}", e.getMessage());
+            call.answer(400, new byte[0]);
+            return;
+        }
+        if (!ledger.entitled()) {
+            call.refuse(503, Duration.ofSeconds(1));
+            return;
+        }
+        MachineControl.Answer answer = machines.report(report, loop.now());
+        if (answer instanceof MachineControl.Answer.Commands commands) {
+            call.answer(200, Command.response(commands.token(), commands.commands()));
+            schedule();
+        } else if (answer instanceof MachineControl.Answer.Elsewhere elsewhere) {
+            call.answer(421, Command.redirect(elsewhere.controller()));
+        } else {
+            call.refuse(503, Duration.ofSeconds(1));
+        }
+    }
+
+    private void answerPeer(Call call) {
+        if (!call.path().equals("/offer") || call.body() == null) {
+            call.answer(404, new byte[0]);
+            return;
+        }
+        try {
+            queue.offered(Offer.decode(call.body()), loop.now());
+            call.answer(200, new byte[0]);
+            schedule();
+        } catch (MalformedException e) {
+            call.answer(400, new byte[0]);
+        }
+    }
+
+    // Rounds
+
+    private void schedule() {
+        if (!scheduled) {
+            scheduled = true;
+            loop.execute(() -> {
+                scheduled = false;
+                round();
+            });
+        }
+    }
+
+    private void tick() {
+        cloud.tick(leading() && ledger.entitled());
+        machines.tidy(loop.now());
+        pauses.keepOnly(view);
+        queue.keepOnly(view);
+        round();
+    }
+
+    private boolean leading() {
+        return self.equals(view.leader());
+    }
+
+    private void round() {
+        Instant began = loop.now();
+        users.settle();
+        if (!ledger.entitled()) {
+            return;
+        }
+        machines.pushes(began).forEach(this::send);
+        if (ledger.ready()) {
+            decide(began);
+        }
+        metrics.round(Duration.between(began, loop.now()));
+    }
+
+    private void decide(Instant now) {
+        Instant timeOfDay = Instant.now();
+        Draft draft = new Draft(view, self, limits);
+        boolean leading = leading();
+        if (view.leader() == null) {
+            draft.put(Keys.LEADER, self);
+        }
+        users.propose(draft, timeOfDay);
+        machines.propose(draft, now, timeOfDay);
+        repair.propose(draft, leading, now);
+        if (leading) {
+            cloud.propose(draft, timeOfDay);
+            booking.propose(draft, now);
+            fleet.propose(draft, now, timeOfDay);
+        }
+        List<BestEffortQueue.Outgoing> offers = queue.propose(draft, machines.ready(now), now);
+        offers.forEach(this::send);
+        if (draft.isEmpty()) {
+            return;
+        }
+        ledger.commit(draft, result -> {
+            metrics.committed(result.committed(), Duration.between(now, loop.now()));
+            if (result.committed()) {
+                users.committed(draft);
+            } else {
+                users.refused(result.failed());
+            }
+        });
+    }
+
+    private void send(MachineControl.Push push) {
+        metrics.pushed();
+        byte[] body = Command.direct(push.token(), push.session(), push.commands());
+        http.call(push.address(), Reply.Request.post("/do", body, COMMAND_LIMIT), reply -> {
+            boolean answered = reply.kind() == Reply.Kind.ANSWERED && (reply.status() == 200 || reply.status() == 409);
+            machines.pushEnded(push, !answered && reply.kind() != Reply.Kind.NOT_SENT, !answered, loop.now());
+            if (answered) {
+                try {
+                    machines.answered(WorkerReport.parse(Cbor.decode(reply.body())), loop.now());
+                } catch (MalformedException e) {
+                    LOG.info("the answer of {} cannot be read: {}", push.machine(), e.getMessage());
+                }
+            }
+            schedule();
+        });
+    }
+
+    private void send(BestEffortQueue.Outgoing outgoing) {
+        String address = meshAddresses.get(outgoing.peer());
+        if (address != null) {
+            metrics.offered();
+            http.call(address, Reply.Request.post("/offer", outgoing.offer().encode(), OFFER_LIMIT), reply -> { });
+        }
+    }
+
+    private void logFigures() {
+        int waiting = view.jobs().stream().mapToInt(j -> j.waiting()).sum();
+        long up = view.machines().stream().filter(m -> m.takesTasks()).count();
+        metrics.log(String.format("%s epoch=%d jobs=%d waiting=%d machines=%d/%d%s",
+                ledger.entitled() ? leading() ? "leader" : "member" : "outside", view.epoch(), view.jobs().size(),
+                waiting, up, view.machines().size(), view.closed().isEmpty() ? "" : " closed=" + view.closed().size()));
+    }
+}
--- /dev/null
+++ b/src/main/java/org/gullway/Main.java
@@ -0,0 +1,71 @@
+package org.gullway;
+
+import java.io.IOException;
+import java.nio.file.Path;
+import java.util.Map;
+import java.util.concurrent.Callable;
+import org.gullway.protocol.MalformedException;
+import org.gullway.protocol.OperatorSettings;
+import org.gullway.protocol.Settings;
+import picocli.CommandLine;
+import picocli.CommandLine.Command;
+import picocli.CommandLine.Option;
+
+/** The command line. */
+@Command(name = "gullway", mixinStandardHelpOptions = true, versionProvider = Main.Version.class,
+        description = "Schedules users' jobs on rented machines. One process runs on every controller.")
+public final class Main implements Callable<Integer> {
+    private static final int FAULTY_SETTINGS = 2;
+
+    @Option(names = "--config", required = true, paramLabel = "FILE", description = "the platform's settings (TOML)")
+    private Path config;
+
+    @Option(names = "--operator-settings", paramLabel = "FILE", description = "operators' own settings (XML)")
+    private Path operatorSettings;
+
+    @Option(names = "--check", description = "check the settings and exit")
+    private boolean checkOnly;
+
+    /** The version from the jar's manifest. */
+    static final class Version implements CommandLine.IVersionProvider {
+        @Override
+        public String[] getVersion() {
+            String version = Main.class.getPackage().getImplementationVersion();
+            return new String[] {"gullway " + (version == null ? "(development)" : version)};
+        }
+    }
+
+    public static void main(String[] args) {
+        configureLogging(System.getenv());
+        int code = new CommandLine(new Main()).execute(args);
+        if (code != 0) {
+            System.exit(code);
+        }
+    }
+
+    private static void configureLogging(Map<String, String> environment) {
+        String level = environment.getOrDefault("LOG_LEVEL", "info");
+        System.setProperty("org.slf4j.simpleLogger.defaultLogLevel", "error");
+        System.setProperty("org.slf4j.simpleLogger.log.org.gullway", level);
+        System.setProperty("org.slf4j.simpleLogger.showThreadName", "false");
+        System.setProperty("org.slf4j.simpleLogger.showShortLogName", "true");
+        System.setProperty("org.jboss.logging.provider", "slf4j");
+    }
+
+    @Override
+    public Integer call() throws IOException {
+        Settings settings;
+        OperatorSettings operator;
+        try {
+            settings = Settings.read(config);
+            operator = operatorSettings == null ? OperatorSettings.DEFAULTS : OperatorSettings.read(operatorSettings);
+        } catch (MalformedException e) {
+            System.err.println("gullway: " + e.getMessage());
+            return FAULTY_SETTINGS;
+        }
+        if (!checkOnly) {
+            Controller.start(settings, operator);
+        }
+        return 0;
+    }
+}
--- /dev/null
+++ b/src/main/java/org/gullway/bookkeeping/Ledger.java
@@ -0,0 +1,385 @@
+package org.gullway.bookkeeping;
+
+import com.fasterxml.jackson.databind.JsonNode;
+import java.time.Duration;
+import java.time.Instant;
+import java.util.HashMap;
+import java.util.HashSet;
+import java.util.Map;
+import java.util.Set;
+import java.util.function.Consumer;
+import org.gullway.coordination.ClusterView;
+import org.gullway.coordination.Draft;
+import org.gullway.coordination.Incarnation;
+import org.gullway.coordination.Keys;
+import org.gullway.coordination.Membership;
+import org.gullway.protocol.MalformedException;
+import org.gullway.transport.EventLoop;
+import org.gullway.transport.Reply;
+import org.slf4j.Logger;
+import org.slf4j.LoggerFactory;
+
+/**
+ * Keeps the view up to date with the state store, keeps this controller a member, and commits drafts, one at a time.
+ *
+ * <p>A commit without an answer may still be carried out, at any later time. It is ruled out by writing the own
+ * member key anew: every commit is guarded by that key's mark. Only then does the next commit go out.
+ */
+public final class Ledger {
+    private static final Logger LOG = LoggerFactory.getLogger(Ledger.class);
+    private static final Duration WATCH_WAIT = Duration.ofSeconds(5);
+    private static final Duration RETRY = Duration.ofMillis(250);
+    private static final Duration BUSY_RETRY = Duration.ofMillis(120);
+
+    /** What became of a draft; one that was not committed never will be, and {@code failed} names guards that failed. */
+    public record Result(boolean committed, Set<String> failed) {
+        private static final Result REFUSED = new Result(false, Set.of());
+    }
+
+    private enum Phase { OUTSIDE, JOINING, MEMBER }
+
+    private final EventLoop loop;
+    private final StateStore store;
+    private final ClusterView view;
+    private final Membership membership;
+    private final Runnable changed;
+    private Phase phase = Phase.OUTSIDE;
+    private boolean synced;
+    private Instant lastWatched = Instant.MIN;
+    private boolean committing;
+    private Instant commitNotBefore = Instant.MIN;
+    /** Revision that the watch has to reach before the view is good enough for another commit. */
+    private long awaited;
+    private Instant awaitedSince;
+    private long watchRun;
+    private int renewals;
+
+    public Ledger(EventLoop loop, StateStore store, ClusterView view, Membership membership, Runnable changed) {
+        this.loop = loop;
+        this.store = store;
+        this.view = view;
+        this.membership = membership;
+        this.changed = changed;
+    }
+
+    static boolean isTethered(String key) {
+        return key.startsWith(Keys.MEMBERS) || key.equals(Keys.LEADER);
+    }
+
+    public void start() {
+        readAll();
+        join();
+        loop.every(membership.life().dividedBy(5), this::renew);
+    }
+
+    /** Whether the view is recent and this controller is entitled to act. */
+    public boolean entitled() {
+        return phase == Phase.MEMBER && fresh() && membership.trusted(loop.now());
+    }
+
+    /** Whether the view follows the store without a gap. */
+    public boolean fresh() {
+        return synced && loop.now().isBefore(lastWatched.plus(WATCH_WAIT.multipliedBy(2)));
+    }
+
+    // Reading and watching
+
+    private void readAll() {
+        synced = false;
+        long run = ++watchRun;
+        readPage(run, null, 0, new HashMap<>());
+    }
+
+    private void readPage(long run, String from, long firstRevision, Map<String, JsonNode> items) {
+        store.list(Keys.LIVE, from, outcome -> {
+            if (run != watchRun) {
+                return;
+            }
+            if (!outcome.is(200)) {
+                loop.after(RETRY, () -> {
+                    if (run == watchRun) {
+                        readAll();
+                    }
+                });
+                return;
+            }
+            String last = null;
+            for (JsonNode item : outcome.body().path("items")) {
+                last = item.path("k").asText();
+                items.put(last, item);
+            }
+            long revision = firstRevision == 0 ? outcome.revision() : firstRevision;
+            if (outcome.body().path("more").asBoolean() && last != null) {
+                readPage(run, last, revision, items);
+                return;
+            }
+            view.clear();
+            items.forEach((key, item) -> take(key, item));
+            view.watchedTo(revision);
+            synced = true;
+            lastWatched = loop.now();
+            LOG.info("read {} keys at revision {}", items.size(), revision);
+            changed.run();
+            watch(run, revision);
+        });
+    }
+
+    private void take(String key, JsonNode item) {
+        try {
+            Object value = RecordCodec.decode(key, item.path("v"));
+            if (value != null) {
+                view.put(key, value, StateStore.mark(item));
+            }
+        } catch (MalformedException e) {
+            LOG.error("{} holds a value that is not of our form: {}", key, e.getMessage());
+        }
+    }
+
+    private void watch(long run, long from) {
+        Instant asked = loop.now();
+        store.watch(Keys.LIVE, from, WATCH_WAIT, outcome -> {
+            if (run != watchRun) {
+                return;
+            }
+            if (outcome.kind() == Reply.Kind.ANSWERED && outcome.status() == 410) {
+                readAll();
+                return;
+            }
+            if (!outcome.is(200)) {
+                loop.after(RETRY, () -> {
+                    if (run == watchRun) {
+                        watch(run, from);
+                    }
+                });
+                return;
+            }
+            boolean any = false;
+            for (JsonNode event : outcome.body().path("events")) {
+                String removed = event.path("remove").asText(null);
+                if (removed != null) {
+                    any |= view.remove(removed, StateStore.mark(event));
+                } else {
+                    take(event.path("put").asText(), event);
+                    any = true;
+                }
+            }
+            long to = Math.max(from, outcome.revision());
+            view.watchedTo(to);
+            lastWatched = loop.now();
+            if (any || awaited > 0) {
+                changed.run();
+            }
+            // The store answers at once while changes go on; a short pause gathers them and spares requests.
+            if (asked.plus(BUSY_RETRY).isAfter(loop.now())) {
+                loop.after(Duration.ofMillis(10), () -> {
+                    if (run == watchRun) {
+                        watch(run, to);
+                    }
+                });
+            } else {
+                watch(run, to);
+            }
+        });
+    }
+
+    // Membership
+
+    private Incarnation self() {
+        return membership.self();
+    }
+
+    private String memberKey() {
+        return Keys.member(self().node());
+    }
+
+    private void join() {
+        phase = Phase.JOINING;
+        membership.lost();
+        store.get(memberKey(), outcome -> {
+            if (outcome.is(200) && outcome.body().hasNonNull("tether")) {
+                // Only this node writes this key, so an earlier process or membership of its own left it there.
+                store.end(outcome.body().path("tether").asLong(), ended -> rejoinSoon());
+            } else if (outcome.kind() == Reply.Kind.ANSWERED && outcome.status() == 404) {
+                enter();
+            } else {
+                rejoinSoon();
+            }
+        });
+    }
+
+    private void rejoinSoon() {
+        loop.after(RETRY, this::join);
+    }
+
+    private void enter() {
+        Instant sent = loop.now();
+        store.grant(membership.life(), granted -> {
+            if (!granted.is(200)) {
+                rejoinSoon();
+                return;
+            }
+            long lease = granted.body().path("tether").asLong();
+            store.commit(Set.of(memberKey()), key -> 0, Map.of(memberKey(), self()), lease, outcome -> {
+                if (!outcome.is(200)) {
+                    rejoinSoon();
+                    return;
+                }
+                membership.joined(lease, sent);
+                view.put(memberKey(), self(), outcome.revision());
+                phase = Phase.MEMBER;
+                committing = false;
+                LOG.info("joined as {} with lease {}", self(), lease);
+                changed.run();
+            });
+        });
+    }
+
+    private void renew() {
+        if (phase != Phase.MEMBER || renewals > 1) {
+            return;
+        }
+        long lease = membership.lease();
+        Instant sent = loop.now();
+        renewals++;
+        store.renew(lease, membership.life().dividedBy(3), outcome -> {
+            renewals--;
+            if (phase != Phase.MEMBER || lease != membership.lease()) {
+                return;
+            }
+            if (outcome.kind() == Reply.Kind.ANSWERED && outcome.status() == 200) {
+                boolean before = membership.trusted(loop.now());
+                membership.renewed(sent);
+                if (!before) {
+                    LOG.info("membership is trusted again");
+                    changed.run();
+                }
+            } else if (outcome.kind() == Reply.Kind.ANSWERED && outcome.status() == 404) {
+                LOG.info("membership ended");
+                join();
+            }
+        });
+    }
+
+    // Commits
+
+    /** Whether a draft could be committed now. */
+    public boolean ready() {
+        if (!entitled() || committing || loop.now().isBefore(commitNotBefore)) {
+            return false;
+        }
+        if (view.watched() < awaited) {
+            if (awaitedSince.plus(WATCH_WAIT).isBefore(loop.now())) {
+                LOG.info("the watch does not bring revision {}; reading anew", awaited);
+                awaited = 0;
+                readAll();
+            }
+            return false;
+        }
+        awaited = 0;
+        return true;
+    }
+
+    public void commit(Draft draft, Consumer<Result> callback) {
+        committing = true;
+        store.commit(draft.guards(), view::mark, draft.changes(), membership.lease(), outcome -> {
+            if (outcome.is(200)) {
+                committing = false;
+                long revision = outcome.revision();
+                draft.changes().forEach((key, value) -> {
+                    if (value == null) {
+                        view.remove(key, revision);
+                    } else if (key.startsWith(Keys.LIVE)) {
+                        view.put(key, value, revision);
+                    }
+                });
+                callback.accept(new Result(true, Set.of()));
+                changed.run();
+            } else if (outcome.unknown()) {
+                LOG.info("a commit got no answer; writing the member key anew");
+                ruleOut(() -> callback.accept(Result.REFUSED));
+            } else {
+                committing = false;
+                Set<String> failed = Set.of();
+                if (outcome.is(409)) {
+                    failed = failedGuards(outcome);
+                    refused(failed, outcome.revision());
+                } else {
+                    commitNotBefore = loop.now().plus(BUSY_RETRY);
+                    loop.after(BUSY_RETRY, changed);
+                    if (outcome.status() == 400) {
+                        LOG.info("a commit was refused: {}", outcome.body());
+                    }
+                }
+                callback.accept(new Result(false, failed));
+            }
+        });
+    }
+
+    private static Set<String> failedGuards(StateStore.Outcome outcome) {
+        Set<String> failed = new HashSet<>();
+        outcome.body().path("failed").forEach(key -> failed.add(key.asText()));
+        return failed;
+    }
+
+    private void refused(Set<String> failed, long revision) {
+        LOG.debug("guards failed: {}", failed);
+        if (failed.contains(memberKey())) {
+            join();
+        } else {
+            await(revision);
+        }
+    }
+
+    private void await(long revision) {
+        if (view.watched() < revision) {
+            awaited = revision;
+            awaitedSince = loop.now();
+        } else {
+            commitNotBefore = loop.now().plusMillis(20);
+            loop.after(Duration.ofMillis(20), changed);
+        }
+    }
+
+    /** Makes sure that earlier commits of this controller can no longer be carried out. */
+    private void ruleOut(Runnable then) {
+        long lease = membership.lease();
+        store.commit(Set.of(memberKey()), view::mark, Map.of(memberKey(), self()), lease, outcome -> {
+            if (outcome.is(200)) {
+                view.put(memberKey(), self(), outcome.revision());
+                committing = false;
+                await(outcome.revision());
+                then.run();
+            } else if (outcome.is(409) || outcome.kind() == Reply.Kind.ANSWERED && outcome.status() == 400) {
+                // Either the membership has ended, or an earlier try of this very write was carried out.
+                then.run();
+                join();
+            } else {
+                loop.after(RETRY, () -> {
+                    if (lease == membership.lease() && phase == Phase.MEMBER) {
+                        ruleOut(then);
+                    } else {
+                        committing = false;
+                        then.run();
+                    }
+                });
+            }
+        });
+    }
+
+    /** Asks whether the view's marks of these keys are the newest; the answer is the keys that are not, or null. */
+    public void verify(Set<String> keys, Consumer<Set<String>> callback) {
+        store.commit(keys, view::mark, Map.of(), 0, outcome -> {
+            if (outcome.is(200)) {
+                callback.accept(Set.of());
+            } else if (outcome.is(409)) {
+                callback.accept(failedGuards(outcome));
+            } else {
+                callback.accept(null);
+            }
+        });
+    }
+
+    public StateStore store() {
+        return store;
+    }
+}
--- /dev/null
+++ b/src/main/java/org/gullway/bookkeeping/StateStore.java
@@ -0,0 +1,114 @@
+package org.gullway.bookkeeping;
+
+import com.fasterxml.jackson.databind.JsonNode;
+import com.fasterxml.jackson.databind.node.ArrayNode;
+import com.fasterxml.jackson.databind.node.ObjectNode;
+import java.time.Duration;
+import java.util.Collection;
+import java.util.Map;
+import java.util.function.Consumer;
+import java.util.function.ToLongFunction;
+import org.gullway.protocol.Cbor;
+import org.gullway.protocol.MalformedException;
+import org.gullway.transport.HttpClient;
+import org.gullway.transport.Reply;
+
+/** The state service's calls. Every answer that is not of the stated form counts as unknown. */
+public final class StateStore {
+    private static final Duration LIMIT = Duration.ofSeconds(3);
+    private static final int PAGE = 500;
+
+    private final HttpClient http;
+    private final String address;
+
+    public StateStore(HttpClient http, String address) {
+        this.http = http;
+        this.address = address;
+    }
+
+    /** Outcome of a call; the body is null unless the status came with a map. */
+    public record Outcome(Reply.Kind kind, int status, ObjectNode body) {
+        boolean is(int expected) {
+            return kind == Reply.Kind.ANSWERED && status == expected && body != null;
+        }
+
+        /** The request may have been carried out, or may be carried out later. */
+        boolean unknown() {
+            return kind == Reply.Kind.UNKNOWN || kind == Reply.Kind.ANSWERED && (status == 200 && body == null
+                    || status != 200 && status != 400 && status != 404 && status != 409 && status != 410
+                    && status != 429 && status != 503);
+        }
+
+        long revision() {
+            return body == null ? 0 : body.path("logline").asLong();
+        }
+    }
+
+    private void call(Reply.Request request, Consumer<Outcome> callback) {
+        http.call(address, request, reply -> {
+            ObjectNode body = null;
+            if (reply.kind() == Reply.Kind.ANSWERED && reply.body().length > 0) {
+                try {
+                    body = Cbor.decode(reply.body());
+                } catch (MalformedException e) {
+                    body = null;
+                }
+            }
+            callback.accept(new Outcome(reply.kind(), reply.status(), body));
+        });
+    }
+
+    public void get(String key, Consumer<Outcome> callback) {
+        call(Reply.Request.get("/store/" + key, LIMIT), callback);
+    }
+
+    public void list(String prefix, String from, Consumer<Outcome> callback) {
+        String after = from == null ? "" : "&from=" + from;
+        call(Reply.Request.get("/store?under=" + prefix + after + "&page=" + PAGE, LIMIT), callback);
+    }
+
+    public void watch(String prefix, long from, Duration wait, Consumer<Outcome> callback) {
+        call(Reply.Request.get("/watch?under=" + prefix + "&from=" + from + "&block_ms=" + wait.toMillis(),
+                wait.plus(LIMIT)), callback);
+    }
+
+    public void grant(Duration life, Consumer<Outcome> callback) {
+        call(Reply.Request.post("/grants", Cbor.encode(Cbor.map().put("life_ms", life.toMillis())), LIMIT), callback);
+    }
+
+    public void renew(long lease, Duration limit, Consumer<Outcome> callback) {
+        call(Reply.Request.post("/grants/" + lease + "/renew", Cbor.encode(Cbor.map()), limit), callback);
+    }
+
+    public void end(long lease, Consumer<Outcome> callback) {
+        call(Reply.Request.delete("/grants/" + lease, LIMIT), callback);
+    }
+
+    /** Commits the changes if all guards hold; keys for which {@code tethered} holds live as long as the lease. */
+    public void commit(Collection<String> guards, ToLongFunction<String> mark, Map<String, ?> changes, long lease,
+                       Consumer<Outcome> callback) {
+        ObjectNode node = Cbor.map();
+        ArrayNode conditions = node.putArray("guards");
+        for (String key : guards) {
+            conditions.addObject().put("k", key).put("mark", mark.applyAsLong(key));
+        }
+        ArrayNode then = node.putArray("then");
+        changes.forEach((key, value) -> {
+            ObjectNode change = then.addObject();
+            if (value == null) {
+                change.put("remove", key);
+            } else {
+                change.put("put", key);
+                change.set("v", RecordCodec.encode(value));
+                if (Ledger.isTethered(key)) {
+                    change.put("tether", lease);
+                }
+            }
+        });
+        call(Reply.Request.post("/commit", Cbor.encode(node), LIMIT), callback);
+    }
+
+    static long mark(JsonNode item) {
+        return item.path("mark").asLong();
+    }
+}
--- /dev/null
+++ b/src/main/java/org/gullway/coordination/BestEffortQueue.java
@@ -0,0 +1,153 @@
+package org.gullway.coordination;
+
+import java.time.Duration;
+import java.time.Instant;
+import java.util.ArrayList;
+import java.util.Comparator;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.random.RandomGenerator;
+import org.gullway.protocol.Offer;
+
+/**
+ * This controller's private queue of best-effort jobs. Spare room reported by a worker pulls a fitting task out of it,
+ * teams taking equal turns; room that fits nothing here is offered to a peer chosen at random.
+ */
+public final class BestEffortQueue {
+    /** The same machine's room is not offered to peers more often than this. */
+    private static final Duration OFFER_PAUSE = Duration.ofMillis(500);
+
+    private final ClusterView view;
+    private final Placing placing;
+    private final JobPauses pauses;
+    private final String self;
+    private final Duration offerLife;
+    private final RandomGenerator random;
+    private final List<String> turns = new ArrayList<>();
+    private final Map<String, Foreign> foreign = new HashMap<>();
+    private final Map<String, Instant> offered = new HashMap<>();
+
+    /** Room of a peer's machine that was offered here. */
+    private record Foreign(Offer offer, Instant until) {
+    }
+
+    /** An offer on its way to a peer. */
+    public record Outgoing(String peer, Offer offer) {
+    }
+
+    public BestEffortQueue(ClusterView view, Placing placing, JobPauses pauses, String self, Duration offerLife,
+                           RandomGenerator random) {
+        this.view = view;
+        this.placing = placing;
+        this.pauses = pauses;
+        this.self = self;
+        this.offerLife = offerLife;
+        this.random = random;
+    }
+
+    public void offered(Offer offer, Instant now) {
+        foreign.put(offer.machine(), new Foreign(offer, now.plus(offerLife)));
+    }
+
+    /** Fills the given machines, whose workers report here, and the room offered by peers. */
+    public List<Outgoing> propose(Draft draft, List<MachineRecord> own, Instant now) {
+        List<JobRecord> mine = new ArrayList<>();
+        boolean othersWait = false;
+        for (JobRecord job : view.jobs()) {
+            if (!job.reserved() && job.waiting() > 0 && !pauses.paused(job, now)) {
+                if (self.equals(job.owner())) {
+                    mine.add(job);
+                } else {
+                    othersWait = true;
+                }
+            }
+        }
+        mine.sort(Comparator.<JobRecord, org.gullway.protocol.Rank>comparing(j -> j.request().rank())
+                .thenComparing(BestEffortQueue::due)
+                .thenComparing(j -> j.request().id()));
+        List<Outgoing> outgoing = new ArrayList<>();
+        for (MachineRecord machine : own) {
+            fill(draft, machine, mine);
+            if (othersWait && placing.freeCpus(machine, draft) >= 1 && !view.closed().contains(machine.name())) {
+                passOn(new Offer(machine.name(), machine.session(), List.of(self)), now, outgoing);
+            }
+        }
+        List<Foreign> room = new ArrayList<>(foreign.values());
+        foreign.clear();
+        for (Foreign each : room) {
+            MachineRecord machine = view.machine(each.offer().machine());
+            if (machine == null || !machine.takesTasks() || machine.session() != each.offer().session()
+                    || !now.isBefore(each.until())) {
+                continue;
+            }
+            if (!fill(draft, machine, mine) && othersWait) {
+                List<String> asked = new ArrayList<>(each.offer().askedAlready());
+                asked.add(self);
+                passOn(new Offer(machine.name(), machine.session(), asked), now, outgoing);
+            }
+        }
+        return outgoing;
+    }
+
+    private static Instant due(JobRecord job) {
+        Duration deadline = job.request().deadline();
+        return deadline == null ? job.submitted().plus(Duration.ofMinutes(5)) : job.submitted().plus(deadline);
+    }
+
+    /** Starts tasks in equal turns of the teams until nothing more fits; true if any did. */
+    private boolean fill(Draft draft, MachineRecord machine, List<JobRecord> mine) {
+        if (view.closed().contains(machine.name())) {
+            return false;
+        }
+        boolean any = false;
+        while (true) {
+            JobRecord job = nextInTurn(draft, machine, mine);
+            if (job == null) {
+                return any;
+            }
+            draft.place(job, job.nextWaiting(), machine);
+            turns.remove(job.request().team());
+            turns.add(job.request().team());
+            any = true;
+        }
+    }
+
+    /** The first fitting job of the team whose last turn was longest ago. */
+    private JobRecord nextInTurn(Draft draft, MachineRecord machine, List<JobRecord> mine) {
+        JobRecord best = null;
+        int bestTurn = Integer.MAX_VALUE;
+        for (JobRecord known : mine) {
+            int turn = turns.indexOf(known.request().team());
+            if (turn >= bestTurn) {
+                continue;
+            }
+            JobRecord job = draft.job(known.request().id());
+            if (job != null && job.waiting() > 0 && placing.hasRoom(job.request(), machine, draft)
+                    && placing.allowed(job, machine, view) && placing.withinLimit(job.request(), draft)
+                    && draft.canPlace(job)) {
+                best = job;
+                bestTurn = turn;
+            }
+        }
+        return best;
+    }
+
+    private void passOn(Offer offer, Instant now, List<Outgoing> outgoing) {
+        Instant last = offered.get(offer.machine());
+        if (last != null && now.isBefore(last.plus(OFFER_PAUSE))) {
+            return;
+        }
+        List<String> peers = new ArrayList<>(view.members().keySet());
+        peers.remove(self);
+        peers.removeAll(offer.askedAlready());
+        if (!peers.isEmpty()) {
+            offered.put(offer.machine(), now);
+            outgoing.add(new Outgoing(peers.get(random.nextInt(peers.size())), offer));
+        }
+    }
+
+    public void keepOnly(ClusterView known) {
+        offered.keySet().removeIf(name -> known.machine(name) == null);
+    }
+}
--- /dev/null
+++ b/src/main/java/org/gullway/coordination/ClusterView.java
@@ -0,0 +1,211 @@
+package org.gullway.coordination;
+
+import java.util.Collection;
+import java.util.HashMap;
+import java.util.HashSet;
+import java.util.Map;
+import java.util.Set;
+import java.util.TreeMap;
+import org.gullway.protocol.JobRequest;
+
+/**
+ * What the state store holds, as this controller last heard: marks for the guards of commits, records, and the room
+ * that placements take, which follows from the records.
+ */
+public final class ClusterView {
+    /** Room taken, or free. */
+    public static final class Room {
+        public double cpus;
+        public double cards;
+        public double memoryGb;
+        public int tasks;
+
+        void add(JobRequest job, int sign) {
+            cpus += sign * job.cpus();
+            cards += sign * job.cards();
+            memoryGb += sign * job.memoryGb();
+            tasks += sign;
+            if (tasks == 0) {
+                // Sums of decimals drift; an empty machine is exactly empty.
+                cpus = 0;
+                cards = 0;
+                memoryGb = 0;
+            }
+        }
+    }
+
+    private final Map<String, Long> marks = new HashMap<>();
+    private final Map<String, JobRecord> jobs = new TreeMap<>();
+    private final Map<String, MachineRecord> machines = new TreeMap<>();
+    private final Map<String, Incarnation> members = new TreeMap<>();
+    private final Map<String, Room> machineUse = new HashMap<>();
+    private final Map<String, Room> teamUse = new HashMap<>();
+    private final Map<String, Map<AttemptId, Placement>> onMachine = new HashMap<>();
+    private final Map<String, Set<String>> images = new HashMap<>();
+    /** Removals that the watch has not reached yet, so that an earlier put it still brings does not undo them. */
+    private final Map<String, Long> removed = new HashMap<>();
+    private long watched;
+    private Incarnation leader;
+    private long epoch;
+    private Set<String> closed = Set.of();
+
+    /** Forgets everything, before a new reading of the store. */
+    public void clear() {
+        marks.clear();
+        jobs.clear();
+        machines.clear();
+        members.clear();
+        machineUse.clear();
+        teamUse.clear();
+        onMachine.clear();
+        images.clear();
+        removed.clear();
+        watched = 0;
+        leader = null;
+        epoch = 0;
+        closed = Set.of();
+    }
+
+    /** Takes a value with its mark; an older or equal mark than the known one changes nothing. */
+    public boolean put(String key, Object value, long mark) {
+        if (marks.getOrDefault(key, 0L) >= mark || removed.getOrDefault(key, 0L) >= mark) {
+            return false;
+        }
+        marks.put(key, mark);
+        if (value instanceof JobRecord job) {
+            replaceJob(job.request().id(), job);
+        } else if (value instanceof MachineRecord machine) {
+            machines.put(machine.name(), machine);
+        } else if (key.startsWith(Keys.MEMBERS)) {
+            members.put(key.substring(Keys.MEMBERS.length()), (Incarnation) value);
+        } else if (key.equals(Keys.LEADER)) {
+            leader = (Incarnation) value;
+        } else if (key.equals(Keys.EPOCH)) {
+            epoch = (Long) value;
+        } else if (key.equals(Keys.CLOSED)) {
+            closed = ((ClosedMachines) value).names();
+        }
+        return true;
+    }
+
+    /** Takes the removal of a key at a revision. */
+    public boolean remove(String key, long mark) {
+        if (marks.getOrDefault(key, 0L) >= mark) {
+            return false;
+        }
+        marks.remove(key);
+        if (mark > watched) {
+            removed.put(key, mark);
+        }
+        if (key.startsWith(Keys.JOBS)) {
+            replaceJob(key.substring(Keys.JOBS.length()), null);
+        } else if (key.startsWith(Keys.MACHINES)) {
+            String name = key.substring(Keys.MACHINES.length());
+            machines.remove(name);
+            images.remove(name);
+        } else if (key.startsWith(Keys.MEMBERS)) {
+            members.remove(key.substring(Keys.MEMBERS.length()));
+        } else if (key.equals(Keys.LEADER)) {
+            leader = null;
+        } else if (key.equals(Keys.CLOSED)) {
+            closed = Set.of();
+        }
+        return true;
+    }
+
+    private void replaceJob(String id, JobRecord next) {
+        JobRecord before = next == null ? jobs.remove(id) : jobs.put(id, next);
+        if (before != null) {
+            count(before, -1);
+        }
+        if (next != null) {
+            count(next, 1);
+        }
+    }
+
+    private void count(JobRecord job, int sign) {
+        JobRequest request = job.request();
+        for (Placement placement : job.live()) {
+            machineUse.computeIfAbsent(placement.machine(), m -> new Room()).add(request, sign);
+            teamUse.computeIfAbsent(request.team(), t -> new Room()).add(request, sign);
+            Map<AttemptId, Placement> there = onMachine.computeIfAbsent(placement.machine(), m -> new HashMap<>());
+            if (sign > 0) {
+                there.put(AttemptId.of(job, placement), placement);
+                images.computeIfAbsent(placement.machine(), m -> new HashSet<>()).add(request.image());
+            } else {
+                there.remove(AttemptId.of(job, placement));
+            }
+        }
+    }
+
+    public long mark(String key) {
+        return marks.getOrDefault(key, 0L);
+    }
+
+    public Collection<JobRecord> jobs() {
+        return jobs.values();
+    }
+
+    public JobRecord job(String id) {
+        return jobs.get(id);
+    }
+
+    public Collection<MachineRecord> machines() {
+        return machines.values();
+    }
+
+    public MachineRecord machine(String name) {
+        return machines.get(name);
+    }
+
+    public Map<String, Incarnation> members() {
+        return members;
+    }
+
+    public boolean isLive(Incarnation incarnation) {
+        return incarnation != null && incarnation.equals(members.get(incarnation.node()));
+    }
+
+    public Incarnation leader() {
+        return leader;
+    }
+
+    public long epoch() {
+        return epoch;
+    }
+
+    /** Machines on which no best-effort task starts while reserved work waits. */
+    public Set<String> closed() {
+        return closed;
+    }
+
+    public Room usedOn(String machine) {
+        return machineUse.getOrDefault(machine, new Room());
+    }
+
+    public Room usedBy(String team) {
+        return teamUse.getOrDefault(team, new Room());
+    }
+
+    /** Whether the image was already fetched there for an earlier task, as far as the records show. */
+    public boolean hasImage(String machine, String image) {
+        return images.getOrDefault(machine, Set.of()).contains(image);
+    }
+
+    /** Attempts that may be on a machine. */
+    public Map<AttemptId, Placement> placementsOn(String machine) {
+        return onMachine.getOrDefault(machine, Map.of());
+    }
+
+    /** Every change up to this revision has been brought by the watch. */
+    public void watchedTo(long revision) {
+        if (revision > watched) {
+            watched = revision;
+            removed.values().removeIf(mark -> mark <= revision);
+        }
+    }
+
+    public long watched() {
+        return watched;
+    }
+}
--- /dev/null
+++ b/src/main/java/org/gullway/coordination/ReservedBooking.java
@@ -0,0 +1,136 @@
+package org.gullway.coordination;
+
+import java.time.Instant;
+import java.util.ArrayList;
+import java.util.Comparator;
+import java.util.HashMap;
+import java.util.LinkedHashSet;
+import java.util.List;
+import java.util.Map;
+import java.util.Set;
+import org.gullway.protocol.JobRequest;
+import org.gullway.protocol.MachineType;
+import org.gullway.protocol.Settings;
+
+/**
+ * The leader's booking of reserved-class tasks: each on the fullest machine that fits. While some wait, machines are
+ * closed to new best-effort starts until their room would do.
+ */
+public final class ReservedBooking {
+    private final ClusterView view;
+    private final Placing placing;
+    private final JobPauses pauses;
+
+    public ReservedBooking(ClusterView view, Placing placing, JobPauses pauses) {
+        this.view = view;
+        this.placing = placing;
+        this.pauses = pauses;
+    }
+
+    public void propose(Draft draft, Instant now) {
+        List<JobRecord> waiting = new ArrayList<>();
+        for (JobRecord job : view.jobs()) {
+            if (job.reserved() && job.waiting() > 0 && !pauses.paused(job, now)) {
+                waiting.add(job);
+            }
+        }
+        if (waiting.isEmpty()) {
+            close(draft, Set.of());
+            return;
+        }
+        waiting.sort(order(waiting));
+        List<MachineRecord> machines = new ArrayList<>();
+        for (MachineRecord machine : view.machines()) {
+            if (machine.takesTasks() && view.isLive(machine.controller())) {
+                machines.add(machine);
+            }
+        }
+        List<JobRecord> unfitted = new ArrayList<>();
+        for (JobRecord job : waiting) {
+            if (!book(draft, job, machines)) {
+                unfitted.add(draft.job(job.request().id()));
+            }
+        }
+        close(draft, machinesToClose(draft, unfitted, machines));
+    }
+
+    /** By rank, then jobs within their team's guarantee, then by age. */
+    private Comparator<JobRecord> order(List<JobRecord> jobs) {
+        Map<String, Boolean> guaranteed = new HashMap<>();
+        for (JobRecord job : jobs) {
+            Settings.Team team = placing.team(job.request().team());
+            guaranteed.put(job.request().id(), team != null
+                    && view.usedBy(team.name()).cpus + job.request().cpus() <= team.cpus());
+        }
+        return Comparator.<JobRecord, org.gullway.protocol.Rank>comparing(j -> j.request().rank())
+                .thenComparing(j -> guaranteed.get(j.request().id()) ? 0 : 1)
+                .thenComparing(JobRecord::submitted)
+                .thenComparing(j -> j.request().id());
+    }
+
+    /** Books as many tasks as fit; false if some wait for room. */
+    private boolean book(Draft draft, JobRecord first, List<MachineRecord> machines) {
+        JobRecord job = first;
+        while (job != null && job.waiting() > 0) {
+            if (!placing.withinLimit(job.request(), draft) || !draft.canPlace(job)) {
+                return true;
+            }
+            MachineRecord machine = fullest(draft, job, machines);
+            if (machine == null) {
+                return false;
+            }
+            draft.place(job, job.nextWaiting(), machine);
+            job = draft.job(job.request().id());
+        }
+        return true;
+    }
+
+    private MachineRecord fullest(Draft draft, JobRecord job, List<MachineRecord> machines) {
+        MachineRecord best = null;
+        double bestFree = 0;
+        boolean bestImage = false;
+        for (MachineRecord machine : machines) {
+            if (!placing.hasRoom(job.request(), machine, draft) || !placing.allowed(job, machine, view)) {
+                continue;
+            }
+            double free = placing.freeCpus(machine, draft);
+            boolean image = view.hasImage(machine.name(), job.request().image());
+            if (best == null || free < bestFree || free == bestFree && image && !bestImage) {
+                best = machine;
+                bestFree = free;
+                bestImage = image;
+            }
+        }
+        return best;
+    }
+
+    /** The machines with most room that best-effort work could leave, enough for all that waits. */
+    private Set<String> machinesToClose(Draft draft, List<JobRecord> unfitted, List<MachineRecord> machines) {
+        Set<String> chosen = new LinkedHashSet<>();
+        List<MachineRecord> candidates = new ArrayList<>(machines);
+        candidates.sort(Comparator.comparingDouble((MachineRecord m) -> -placing.freeCpus(m, draft))
+                .thenComparing(MachineRecord::name));
+        for (JobRecord job : unfitted) {
+            JobRequest request = job.request();
+            int tasks = job.waiting();
+            for (MachineRecord machine : candidates) {
+                MachineType type = placing.types().get(machine.type());
+                if (tasks <= 0) {
+                    break;
+                }
+                if (type == null || !type.fits(request) || !placing.allowed(job, machine, view)
+                        || !chosen.add(machine.name())) {
+                    continue;
+                }
+                tasks -= (int) Math.min(type.cpus() / request.cpus(), type.memoryGb() / Math.max(1e-9, request.memoryGb()));
+            }
+        }
+        return chosen;
+    }
+
+    private void close(Draft draft, Set<String> wanted) {
+        if (!wanted.equals(view.closed()) && draft.hasRoomFor(1)) {
+            draft.put(Keys.CLOSED, new ClosedMachines(wanted));
+        }
+    }
+}
--- /dev/null
+++ b/src/main/java/org/gullway/protocol/Command.java
@@ -0,0 +1,61 @@
+package org.gullway.protocol;
+
+import com.fasterxml.jackson.databind.node.ArrayNode;
+import com.fasterxml.jackson.databind.node.ObjectNode;
+import java.time.Duration;
+import java.util.List;
+
+/** A command to a worker about one attempt of a task. */
+public record Command(Kind kind, TaskId task, long attempt, Duration grace) {
+    public enum Kind { START, STOP, FORGET }
+
+    public static Command start(TaskId task, long attempt) {
+        return new Command(Kind.START, task, attempt, Duration.ZERO);
+    }
+
+    public static Command stop(TaskId task, long attempt, Duration grace) {
+        return new Command(Kind.STOP, task, attempt, grace);
+    }
+
+    public static Command forget(TaskId task, long attempt) {
+        return new Command(Kind.FORGET, task, attempt, Duration.ZERO);
+    }
+
+    private void writeTo(ArrayNode list) {
+        ObjectNode node = list.addObject();
+        node.put("call", switch (kind) {
+            case START -> "start";
+            case STOP -> "halt";
+            case FORGET -> "forget";
+        });
+        node.put("leg", task.toString()).put("launch", attempt);
+        if (kind == Kind.STOP) {
+            node.put("slack_s", JobRequest.seconds(grace));
+        }
+    }
+
+    /** The answer to a worker's report. */
+    public static byte[] response(long token, List<Command> commands) {
+        ObjectNode node = Cbor.map().put("baton", token);
+        ArrayNode list = node.putArray("calls");
+        commands.forEach(c -> c.writeTo(list));
+        return Cbor.encode(node);
+    }
+
+    /** The body of a direct command. */
+    public static byte[] direct(long token, long session, List<Command> commands) {
+        ObjectNode node = Cbor.map().put("baton", token).put("flight", session);
+        ArrayNode list = node.putArray("calls");
+        commands.forEach(c -> c.writeTo(list));
+        return Cbor.encode(node);
+    }
+
+    /** Sends a worker to another controller; null lets it try the next one. */
+    public static byte[] redirect(String controller) {
+        ObjectNode node = Cbor.map();
+        if (controller != null) {
+            node.put("roost", controller);
+        }
+        return Cbor.encode(node);
+    }
+}
--- /dev/null
+++ b/src/main/java/org/gullway/protocol/Fields.java
@@ -0,0 +1,155 @@
+package org.gullway.protocol;
+
+import com.fasterxml.jackson.databind.JsonNode;
+import java.math.BigInteger;
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.List;
+
+/** Checked access to the fields of a map; every complaint names the field. */
+public final class Fields {
+    private static final double LARGEST_AMOUNT = 1e9;
+    private static final int LONGEST_TEXT = 200;
+
+    private final JsonNode map;
+    private final String where;
+
+    private Fields(JsonNode map, String where) {
+        this.map = map;
+        this.where = where;
+    }
+
+    public static Fields of(JsonNode map) {
+        return new Fields(map, "");
+    }
+
+    public boolean has(String name) {
+        JsonNode node = map.get(name);
+        return node != null && !node.isNull();
+    }
+
+    private JsonNode required(String name) throws MalformedException {
+        if (!has(name)) {
+            throw new MalformedException(where + name + " is missing");
+        }
+        return map.get(name);
+    }
+
+    private MalformedException wrong(String name, String expected) {
+        return new MalformedException(where + name + " is not " + expected);
+    }
+
+    public String text(String name) throws MalformedException {
+        JsonNode node = required(name);
+        if (!node.isTextual() || node.textValue().isEmpty() || node.textValue().length() > LONGEST_TEXT) {
+            throw wrong(name, "a text of 1 to " + LONGEST_TEXT + " characters");
+        }
+        return node.textValue();
+    }
+
+    public String textOrNull(String name) throws MalformedException {
+        return has(name) ? text(name) : null;
+    }
+
+    /** A finite amount of zero or more. */
+    public double amount(String name) throws MalformedException {
+        JsonNode node = required(name);
+        double value = node.isNumber() ? node.doubleValue() : Double.NaN;
+        if (!(value >= 0 && value <= LARGEST_AMOUNT)) {
+            throw wrong(name, "an amount from 0 to 1e9");
+        }
+        return value;
+    }
+
+    public double positive(String name) throws MalformedException {
+        double value = amount(name);
+        if (value <= 0) {
+            throw wrong(name, "an amount above 0");
+        }
+        return value;
+    }
+
+    public Duration seconds(String name) throws MalformedException {
+        return Duration.ofNanos(Math.round(amount(name) * 1e9));
+    }
+
+    public Duration secondsOrNull(String name) throws MalformedException {
+        return has(name) ? seconds(name) : null;
+    }
+
+    public Duration millis(String name) throws MalformedException {
+        return Duration.ofNanos(Math.round(amount(name) * 1e6));
+    }
+
+    /** An integer from 0; whole numbers written as decimals are taken too. */
+    public long count(String name) throws MalformedException {
+        JsonNode node = required(name);
+        if (node.isIntegralNumber()) {
+            BigInteger value = node.bigIntegerValue();
+            if (value.signum() >= 0 && value.bitLength() < 64) {
+                return value.longValue();
+            }
+        }
+        throw wrong(name, "a count");
+    }
+
+    public int countUpTo(String name, int most) throws MalformedException {
+        long value = count(name);
+        if (value > most) {
+            throw wrong(name, "a count up to " + most);
+        }
+        return (int) value;
+    }
+
+    public boolean flag(String name) throws MalformedException {
+        JsonNode node = required(name);
+        if (!node.isBoolean()) {
+            throw wrong(name, "true or false");
+        }
+        return node.booleanValue();
+    }
+
+    public List<String> textsOrNull(String name) throws MalformedException {
+        if (!has(name)) {
+            return null;
+        }
+        JsonNode node = map.get(name);
+        if (!node.isArray()) {
+            throw wrong(name, "a list of texts");
+        }
+        List<String> texts = new ArrayList<>(node.size());
+        for (JsonNode item : node) {
+            if (!item.isTextual()) {
+                throw wrong(name, "a list of texts");
+            }
+            texts.add(item.textValue());
+        }
+        return List.copyOf(texts);
+    }
+
+    public Fields inner(String name) throws MalformedException {
+        JsonNode node = required(name);
+        if (!node.isObject()) {
+            throw wrong(name, "a map");
+        }
+        return new Fields(node, where + name + ".");
+    }
+
+    public List<Fields> list(String name) throws MalformedException {
+        if (!has(name)) {
+            return List.of();
+        }
+        JsonNode node = map.get(name);
+        if (!node.isArray()) {
+            throw wrong(name, "a list");
+        }
+        List<Fields> items = new ArrayList<>(node.size());
+        for (JsonNode item : node) {
+            if (!item.isObject()) {
+                throw wrong(name, "a list of maps");
+            }
+            items.add(new Fields(item, where + name + "[" + items.size() + "]."));
+        }
+        return items;
+    }
+}
--- /dev/null
+++ b/src/main/java/org/gullway/protocol/JobState.java
@@ -0,0 +1,29 @@
+package org.gullway.protocol;
+
+/** State of a job as its user sees it. */
+public enum JobState {
+    PENDING("pending"), RUNNING("running"), DONE("done"), CANCELLED("aborted");
+
+    private final String wire;
+
+    JobState(String wire) {
+        this.wire = wire;
+    }
+
+    public String wire() {
+        return wire;
+    }
+
+    public boolean isFinal() {
+        return this == DONE || this == CANCELLED;
+    }
+
+    public static JobState of(String wire) throws MalformedException {
+        for (JobState state : values()) {
+            if (state.wire.equals(wire)) {
+                return state;
+            }
+        }
+        throw new MalformedException("unknown job state " + wire);
+    }
+}
--- /dev/null
+++ b/src/main/java/org/gullway/protocol/Settings.java
@@ -0,0 +1,120 @@
+package org.gullway.protocol;
+
+import com.fasterxml.jackson.databind.JsonNode;
+import com.fasterxml.jackson.dataformat.toml.TomlMapper;
+import java.io.IOException;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.regex.Pattern;
+
+/** The settings file that the platform hands over. */
+public record Settings(
+        String nodeName,
+        String zone,
+        String publicAddress,
+        String meshAddress,
+        List<Peer> peers,
+        String cloudAddress,
+        String stateAddress,
+        Map<String, Team> teams,
+        List<Objective> objectives,
+        Duration reportInterval,
+        Duration workerLease,
+        Duration cancelLimit,
+        double stateRequestsPerSecond,
+        double stateChangesPerSecond,
+        int stateValueBytes,
+        int stateChangesPerCommit,
+        double cloudRequestsPerSecond,
+        Duration cloudListLag,
+        int sockets) {
+
+    private static final Pattern ADDRESS = Pattern.compile("\\d{1,3}(\\.\\d{1,3}){3}:\\d{1,5}");
+
+    public record Peer(String name, String zone, String address) {
+    }
+
+    /** A team with its guarantee and its limit; 0 means none. */
+    public record Team(String name, double cpus, double cpusMax, double cards, double cardsMax) {
+    }
+
+    /** One of the users' aims on starting and finishing; {@code within} is null where the aim has none. */
+    public record Objective(String kind, String jobClass, Duration within, double share) {
+    }
+
+    public static Settings read(Path file) throws MalformedException {
+        JsonNode tree;
+        try (var in = Files.newInputStream(file)) {
+            tree = new TomlMapper().readTree(in);
+        } catch (com.fasterxml.jackson.core.JacksonException e) {
+            throw new MalformedException(file + " is not TOML: " + e.getOriginalMessage());
+        } catch (IOException e) {
+            throw new MalformedException("cannot read " + file + ": " + e.getMessage());
+        }
+        return of(tree);
+    }
+
+    static Settings of(JsonNode tree) throws MalformedException {
+        Fields top = Fields.of(tree);
+        List<Peer> peers = new ArrayList<>();
+        for (Fields seed : top.list("seeds")) {
+            peers.add(new Peer(seed.text("node_name"), seed.text("site"), address(seed, "addr")));
+        }
+        Fields external = top.inner("external");
+        Fields facts = top.inner("facts");
+        Map<String, Team> teams = new LinkedHashMap<>();
+        for (Fields team : facts.list("teams")) {
+            Team read = new Team(team.text("name"), team.amount("cpus"), team.amount("cpus_max"),
+                    team.has("gpus") ? team.amount("gpus") : 0, team.has("gpus_max") ? team.amount("gpus_max") : 0);
+            if (teams.put(read.name(), read) != null) {
+                throw new MalformedException("facts.teams names " + read.name() + " twice");
+            }
+        }
+        List<Objective> objectives = new ArrayList<>();
+        for (Fields objective : facts.list("objectives")) {
+            objectives.add(new Objective(objective.text("kind"), objective.textOrNull("class"),
+                    objective.secondsOrNull("within_s"), objective.amount("share")));
+        }
+        Fields workers = facts.inner("workers");
+        Fields state = facts.inner("state");
+        Fields cloud = facts.inner("cloud");
+        return new Settings(top.text("node_name"), top.text("site"),
+                address(top, "public_addr"), address(top, "mesh_addr"), List.copyOf(peers),
+                address(external, "cloud"), address(external, "state"),
+                Map.copyOf(teams), List.copyOf(objectives),
+                span(workers, "report_s"), span(workers, "lease_s"), span(workers, "cancel_s"),
+                state.positive("rps"), state.positive("write_rps"),
+                (int) (state.positive("value_kb") * 1024), atLeastOne(state, "txn_ops"),
+                cloud.positive("rps"), cloud.seconds("list_lag_s"),
+                atLeastOne(facts.inner("quota"), "sockets"));
+    }
+
+    private static String address(Fields fields, String name) throws MalformedException {
+        String text = fields.text(name);
+        if (!ADDRESS.matcher(text).matches()) {
+            throw new MalformedException(name + " is not an address like 10.0.0.1:8080");
+        }
+        return text;
+    }
+
+    private static Duration span(Fields fields, String name) throws MalformedException {
+        Duration span = fields.seconds(name);
+        if (span.isZero()) {
+            throw new MalformedException(name + " is 0");
+        }
+        return span;
+    }
+
+    private static int atLeastOne(Fields fields, String name) throws MalformedException {
+        int count = fields.countUpTo(name, 1_000_000);
+        if (count < 1) {
+            throw new MalformedException(name + " is below 1");
+        }
+        return count;
+    }
+}
--- /dev/null
+++ b/src/main/java/org/gullway/transport/HttpClient.java
@@ -0,0 +1,225 @@
+package org.gullway.transport;
+
+import io.undertow.client.ClientCallback;
+import io.undertow.client.ClientConnection;
+import io.undertow.client.ClientExchange;
+import io.undertow.client.ClientRequest;
+import io.undertow.client.UndertowClient;
+import io.undertow.connector.ByteBufferPool;
+import io.undertow.connector.PooledByteBuffer;
+import io.undertow.util.Headers;
+import io.undertow.util.HttpString;
+import io.undertow.util.Protocols;
+import java.io.ByteArrayOutputStream;
+import java.io.IOException;
+import java.net.URI;
+import java.nio.ByteBuffer;
+import java.util.ArrayDeque;
+import java.util.Deque;
+import java.util.HashMap;
+import java.util.Map;
+import java.util.function.Consumer;
+import org.xnio.ChannelListener;
+import org.xnio.IoUtils;
+import org.xnio.OptionMap;
+import org.xnio.channels.StreamSinkChannel;
+import org.xnio.channels.StreamSourceChannel;
+
+/** Calls over kept connections, each with a time limit, all on the event loop. */
+public final class HttpClient {
+    private static final int IDLE_PER_ADDRESS = 4;
+
+    private final EventLoop loop;
+    private final ByteBufferPool buffers;
+    private final Map<String, Deque<ClientConnection>> idle = new HashMap<>();
+
+    public HttpClient(EventLoop loop, ByteBufferPool buffers) {
+        this.loop = loop;
+        this.buffers = buffers;
+    }
+
+    public void call(String address, Reply.Request request, Consumer<Reply> callback) {
+        new Call(address, request, callback).begin();
+    }
+
+    private void keep(String address, ClientConnection connection) {
+        Deque<ClientConnection> kept = idle.computeIfAbsent(address, a -> new ArrayDeque<>());
+        if (connection.isOpen() && kept.size() < IDLE_PER_ADDRESS) {
+            kept.addLast(connection);
+        } else {
+            IoUtils.safeClose(connection);
+        }
+    }
+
+    private ClientConnection reuse(String address) {
+        Deque<ClientConnection> kept = idle.get(address);
+        while (kept != null && !kept.isEmpty()) {
+            ClientConnection connection = kept.pollLast();
+            if (connection.isOpen()) {
+                return connection;
+            }
+        }
+        if (kept != null) {
+            idle.remove(address);
+        }
+        return null;
+    }
+
+    private final class Call {
+        private final String address;
+        private final Reply.Request request;
+        private final Consumer<Reply> callback;
+        private final ByteArrayOutputStream received = new ByteArrayOutputStream(512);
+        private final Runnable cancelTimer;
+        private ClientConnection connection;
+        private boolean finished;
+
+        Call(String address, Reply.Request request, Consumer<Reply> callback) {
+            this.address = address;
+            this.request = request;
+            this.callback = callback;
+            this.cancelTimer = loop.after(request.limit(), () -> finish(unfinished()));
+        }
+
+        void begin() {
+            ClientConnection kept = reuse(address);
+            if (kept != null) {
+                send(kept);
+                return;
+            }
+            UndertowClient.getInstance().connect(new ClientCallback<>() {
+                @Override
+                public void completed(ClientConnection made) {
+                    if (finished) {
+                        IoUtils.safeClose(made);
+                    } else {
+                        send(made);
+                    }
+                }
+
+                @Override
+                public void failed(IOException e) {
+                    finish(Reply.notSent());
+                }
+            }, URI.create("http://" + address), loop.thread(), buffers, OptionMap.EMPTY);
+        }
+
+        /** Until a connection stands nothing was sent; from then on the outcome is open. */
+        private Reply unfinished() {
+            return connection == null ? Reply.notSent() : Reply.unknown();
+        }
+
+        private void send(ClientConnection made) {
+            connection = made;
+            ClientRequest head = new ClientRequest()
+                    .setMethod(HttpString.tryFromString(request.method()))
+                    .setPath(request.path())
+                    .setProtocol(Protocols.HTTP_1_1);
+            head.getRequestHeaders().put(Headers.HOST, address);
+            if (request.body().length > 0) {
+                head.getRequestHeaders().put(Headers.CONTENT_LENGTH, request.body().length);
+                head.getRequestHeaders().put(Headers.CONTENT_TYPE, "application/cbor");
+            } else if (!"GET".equals(request.method())) {
+                head.getRequestHeaders().put(Headers.CONTENT_LENGTH, 0);
+            }
+            made.sendRequest(head, new ClientCallback<>() {
+                @Override
+                public void completed(ClientExchange exchange) {
+                    exchange.setResponseListener(new ClientCallback<>() {
+                        @Override
+                        public void completed(ClientExchange answered) {
+                            read(answered);
+                        }
+
+                        @Override
+                        public void failed(IOException e) {
+                            finish(Reply.unknown());
+                        }
+                    });
+                    if (request.body().length > 0) {
+                        write(exchange.getRequestChannel(), ByteBuffer.wrap(request.body()));
+                    }
+                }
+
+                @Override
+                public void failed(IOException e) {
+                    finish(Reply.unknown());
+                }
+            });
+        }
+
+        private void write(StreamSinkChannel channel, ByteBuffer body) {
+            try {
+                while (body.hasRemaining()) {
+                    if (channel.write(body) == 0) {
+                        channel.getWriteSetter().set((ChannelListener<StreamSinkChannel>) c -> write(c, body));
+                        channel.resumeWrites();
+                        return;
+                    }
+                }
+                channel.suspendWrites();
+                channel.shutdownWrites();
+                if (!channel.flush()) {
+                    channel.getWriteSetter().set((ChannelListener<StreamSinkChannel>) c -> {
+                        try {
+                            if (c.flush()) {
+                                c.suspendWrites();
+                            }
+                        } catch (IOException e) {
+                            finish(Reply.unknown());
+                        }
+                    });
+                    channel.resumeWrites();
+                }
+            } catch (IOException e) {
+                finish(Reply.unknown());
+            }
+        }
+
+        private void read(ClientExchange exchange) {
+            StreamSourceChannel channel = exchange.getResponseChannel();
+            drain(exchange, channel);
+        }
+
+        private void drain(ClientExchange exchange, StreamSourceChannel channel) {
+            try (PooledByteBuffer pooled = buffers.allocate()) {
+                ByteBuffer buffer = pooled.getBuffer();
+                while (true) {
+                    buffer.clear();
+                    int n = channel.read(buffer);
+                    if (n < 0) {
+                        Reply reply = Reply.answered(exchange.getResponse().getResponseCode(), received.toByteArray());
+                        boolean close = "close".equalsIgnoreCase(
+                                exchange.getResponse().getResponseHeaders().getFirst(Headers.CONNECTION));
+                        ClientConnection mine = connection;
+                        if (!finished && !close) {
+                            connection = null;
+                            keep(address, mine);
+                        }
+                        finish(reply);
+                        return;
+                    }
+                    if (n == 0) {
+                        channel.getReadSetter().set((ChannelListener<StreamSourceChannel>) c -> drain(exchange, c));
+                        channel.resumeReads();
+                        return;
+                    }
+                    buffer.flip();
+                    received.write(buffer.array(), buffer.arrayOffset() + buffer.position(), buffer.remaining());
+                }
+            } catch (IOException e) {
+                finish(Reply.unknown());
+            }
+        }
+
+        private void finish(Reply reply) {
+            if (finished) {
+                return;
+            }
+            finished = true;
+            cancelTimer.run();
+            IoUtils.safeClose(connection);
+            callback.accept(reply);
+        }
+    }
+}
--- /dev/null
+++ b/src/main/java/org/gullway/transport/HttpServer.java
@@ -0,0 +1,111 @@
+package org.gullway.transport;
+
+import io.undertow.Undertow;
+import io.undertow.UndertowOptions;
+import io.undertow.connector.ByteBufferPool;
+import io.undertow.server.HttpServerExchange;
+import io.undertow.util.Headers;
+import io.undertow.util.SameThreadExecutor;
+import java.nio.ByteBuffer;
+import java.time.Duration;
+import org.xnio.XnioWorker;
+
+/** Listens on one address and hands whole requests to a handler on the event loop. */
+public final class HttpServer {
+    /** Handles one request; the answer may be given at once or later, always exactly once. */
+    @FunctionalInterface
+    public interface Handler {
+        void handle(Call call);
+    }
+
+    /** One request with the means to answer it. */
+    public static final class Call {
+        private final HttpServerExchange exchange;
+        private final byte[] body;
+
+        private Call(HttpServerExchange exchange, byte[] body) {
+            this.exchange = exchange;
+            this.body = body;
+        }
+
+        public String method() {
+            return exchange.getRequestMethod().toString();
+        }
+
+        public String path() {
+            return exchange.getRequestPath();
+        }
+
+        /** The body, or null if it was larger than allowed. */
+        public byte[] body() {
+            return body;
+        }
+
+        public void answer(int status, byte[] content) {
+            if (exchange.isResponseStarted()) {
+                return;
+            }
+            exchange.setStatusCode(status);
+            if (content.length > 0) {
+                exchange.getResponseHeaders().put(Headers.CONTENT_TYPE, "application/cbor");
+            }
+            exchange.getResponseHeaders().put(Headers.CONTENT_LENGTH, content.length);
+            if (content.length == 0) {
+                exchange.endExchange();
+            } else {
+                exchange.getResponseSender().send(ByteBuffer.wrap(content));
+            }
+        }
+
+        public void refuse(int status, Duration retryAfter) {
+            exchange.getResponseHeaders().put(Headers.RETRY_AFTER, Math.max(1, retryAfter.toSeconds()));
+            answer(status, new byte[0]);
+        }
+    }
+
+    private HttpServer() {
+    }
+
+    public static void start(XnioWorker worker, ByteBufferPool buffers, String address, int bodyLimit, Handler handler) {
+        int colon = address.lastIndexOf(':');
+        Undertow.builder()
+                .setWorker(worker)
+                .setByteBufferPool(buffers)
+                .addHttpListener(Integer.parseInt(address.substring(colon + 1)), address.substring(0, colon))
+                .setServerOption(UndertowOptions.ALWAYS_SET_DATE, false)
+                .setServerOption(UndertowOptions.ALWAYS_SET_KEEP_ALIVE, false)
+                .setServerOption(UndertowOptions.MAX_HEADER_SIZE, 16 * 1024)
+                .setServerOption(UndertowOptions.REQUEST_PARSE_TIMEOUT, 10_000)
+                .setServerOption(UndertowOptions.NO_REQUEST_TIMEOUT, 120_000)
+                .setHandler(exchange -> receive(exchange, bodyLimit, handler))
+                .build()
+                .start();
+    }
+
+    private static void receive(HttpServerExchange exchange, int limit, Handler handler) {
+        if (exchange.getRequestContentLength() > limit) {
+            exchange.setPersistent(false);
+            hand(exchange, null, handler);
+            return;
+        }
+        exchange.setMaxEntitySize(limit);
+        exchange.getRequestReceiver().receiveFullBytes(
+                (ex, bytes) -> hand(ex, bytes, handler),
+                (ex, error) -> {
+                    ex.setPersistent(false);
+                    hand(ex, null, handler);
+                });
+    }
+
+    private static void hand(HttpServerExchange exchange, byte[] body, Handler handler) {
+        exchange.dispatch(SameThreadExecutor.INSTANCE, () -> {
+            try {
+                handler.handle(new Call(exchange, body));
+            } catch (RuntimeException e) {
+                org.slf4j.LoggerFactory.getLogger(HttpServer.class)
+                        .error("{} {} failed", exchange.getRequestMethod(), exchange.getRequestPath(), e);
+                new Call(exchange, body).refuse(503, Duration.ofSeconds(2));
+            }
+        });
+    }
+}
--- /dev/null
+++ b/src/main/java/org/gullway/transport/Reply.java
@@ -0,0 +1,47 @@
+package org.gullway.transport;
+
+import java.time.Duration;
+
+/** What a caller of {@link HttpClient} gets: an answer, or the knowledge of how far the request came. */
+public record Reply(Kind kind, int status, byte[] body) {
+    private static final byte[] EMPTY = new byte[0];
+
+    public enum Kind {
+        ANSWERED,
+        /** The connection was never made, so the request was certainly not carried out. */
+        NOT_SENT,
+        /** The request may have been carried out, or may still be carried out later. */
+        UNKNOWN
+    }
+
+    public static Reply answered(int status, byte[] body) {
+        return new Reply(Kind.ANSWERED, status, body);
+    }
+
+    public static Reply notSent() {
+        return new Reply(Kind.NOT_SENT, 0, EMPTY);
+    }
+
+    public static Reply unknown() {
+        return new Reply(Kind.UNKNOWN, 0, EMPTY);
+    }
+
+    public boolean ok() {
+        return status == 200;
+    }
+
+    /** A request with its time limit. */
+    public record Request(String method, String path, byte[] body, Duration limit) {
+        public static Request get(String path, Duration limit) {
+            return new Request("GET", path, EMPTY, limit);
+        }
+
+        public static Request post(String path, byte[] body, Duration limit) {
+            return new Request("POST", path, body, limit);
+        }
+
+        public static Request delete(String path, Duration limit) {
+            return new Request("DELETE", path, EMPTY, limit);
+        }
+    }
+}
