--- a/src/main/java/org/gullway/UserApi.java
+++ b/src/main/java/org/gullway/UserApi.java
@@ -126,7 +126,7 @@
             return r;
         }
         List<String> types = placing.types().values().stream().map(MachineType::name).filter(r.types()::contains).toList();
-        return new JobRequest(r.id(), r.jobClass(), r.team(), r.rank(), r.tasks(), r.cpus(), r.cards(), r.memoryGb(),
+        return new JobRequest(r.id(), r.jobClass(), r.team(), r.shape(), r.rank(), r.tasks(), r.cpus(), r.cards(), r.memoryGb(),
                 r.image(), r.imageGb(), types, r.zone(), r.oneZone(), r.spread(), r.spot(), r.estimate(),
                 r.checkpoint(), r.save(), r.deadline());
     }
--- a/src/main/java/org/gullway/coordination/ClusterView.java
+++ b/src/main/java/org/gullway/coordination/ClusterView.java
@@ -20,6 +20,15 @@
         public double memoryGb;
         public int tasks;
 
+        Room copy() {
+            Room copy = new Room();
+            copy.cpus = cpus;
+            copy.cards = cards;
+            copy.memoryGb = memoryGb;
+            copy.tasks = tasks;
+            return copy;
+        }
+
         void add(JobRequest job, int sign) {
             cpus += sign * job.cpus();
             cards += sign * job.cards();
--- a/src/main/java/org/gullway/coordination/Draft.java
+++ b/src/main/java/org/gullway/coordination/Draft.java
@@ -50,6 +50,17 @@
         guards.add(Keys.member(self.node()));
     }
 
+    /** A draft of the same content that can be changed apart from this one. */
+    Draft copy() {
+        Draft copy = new Draft(view, self, limits);
+        copy.changes.putAll(changes);
+        copy.guards.addAll(guards);
+        machineExtra.forEach((name, room) -> copy.machineExtra.put(name, room.copy()));
+        teamExtra.forEach((name, room) -> copy.teamExtra.put(name, room.copy()));
+        copy.bytes = bytes;
+        return copy;
+    }
+
     public boolean isEmpty() {
         return changes.isEmpty();
     }
--- a/src/main/java/org/gullway/coordination/JobRecord.java
+++ b/src/main/java/org/gullway/coordination/JobRecord.java
@@ -6,6 +6,7 @@
 import java.util.function.Predicate;
 import java.util.function.UnaryOperator;
 import org.gullway.protocol.JobRequest;
+import org.gullway.protocol.JobRequest.Shape;
 import org.gullway.protocol.JobState;
 import org.gullway.protocol.JobStatus;
 import org.gullway.protocol.Rank;
@@ -28,7 +29,7 @@
 
     /** The one place that says which jobs the leader books and which wait in private queues. */
     public static boolean isReserved(JobRequest request) {
-        return request.rank() == Rank.PROD || request.rank() == Rank.HIGH;
+        return request.shape() != Shape.ARRAY || request.rank() == Rank.PROD || request.rank() == Rank.HIGH;
     }
 
     public static JobRecord accepted(JobRequest request, String owner, Instant submitted) {
@@ -101,14 +102,23 @@
         return null;
     }
 
+    public boolean gang() {
+        return request.shape() == Shape.GANG;
+    }
+
+    /** Records one attempt; those of a gang that are placed together carry the same number. */
     public JobRecord placed(int task, String machine, long session) {
         List<Placement> next = new ArrayList<>(live);
-        next.add(new Placement(task, attempts + 1, machine, session, false));
-        return new JobRecord(request, owner, submitted, cancelled, done, attempts + 1, errors, List.copyOf(next));
+        long attempt = gang() && !live.isEmpty() ? attempts : attempts + 1;
+        next.add(new Placement(task, attempt, machine, session, false));
+        return new JobRecord(request, owner, submitted, cancelled, done, attempt, errors, List.copyOf(next));
     }
 
-    /** The attempt has completed its task. */
+    /** The attempt has completed its task; a service's task has none and starts anew. */
     public JobRecord completed(Placement placement) {
+        if (request.shape() == Shape.SERVICE) {
+            return ended(placement, false);
+        }
         return new JobRecord(request, owner, submitted, cancelled, done.with(placement.task()), attempts, 0,
                 without(p -> p.equals(placement)));
     }
--- a/src/main/java/org/gullway/coordination/Placing.java
+++ b/src/main/java/org/gullway/coordination/Placing.java
@@ -35,7 +35,10 @@
     /** Whether the job could ever run: its team is known, a task fits a type and the limit. */
     public boolean possible(JobRequest job) {
         Settings.Team team = teams.get(job.team());
-        return team != null && job.cpus() <= team.cpusMax() + EPSILON && job.cards() <= team.cardsMax() + EPSILON
+        // An array needs its limit for one task at a time, everything else for all of its tasks.
+        int together = job.shape() == JobRequest.Shape.ARRAY ? 1 : job.tasks();
+        return team != null && together * job.cpus() <= team.cpusMax() + EPSILON
+                && together * job.cards() <= team.cardsMax() + EPSILON
                 && types.values().stream().anyMatch(type -> type.fits(job) && type.allowedFor(job)
                 && (job.zone() == null || type.zones().contains(job.zone())));
     }
--- a/src/main/java/org/gullway/coordination/Repair.java
+++ b/src/main/java/org/gullway/coordination/Repair.java
@@ -56,6 +56,10 @@
                 draft.rely(Keys.machine(placement.machine()));
             }
         }
+        if (next.gang() && next.waiting() > 0 && next.live().stream().anyMatch(p -> !p.stopping())) {
+            // A gang of which a task is lost starts again as a whole.
+            next = next.stopping(p -> true);
+        }
         if (orphaned && !view.members().isEmpty()) {
             List<String> members = new ArrayList<>(view.members().keySet());
             next = next.ownedBy(members.get(random.nextInt(members.size())));
--- a/src/main/java/org/gullway/coordination/ReservedBooking.java
+++ b/src/main/java/org/gullway/coordination/ReservedBooking.java
@@ -71,6 +71,9 @@
     /** Books as many tasks as fit; false if some wait for room. */
     private boolean book(Draft draft, JobRecord first, List<MachineRecord> machines) {
         JobRecord job = first;
+        if (job.gang() && !bookable(draft, job, machines)) {
+            return !job.live().isEmpty();
+        }
         while (job != null && job.waiting() > 0) {
             if (!placing.withinLimit(job.request(), draft) || !draft.canPlace(job)) {
                 return true;
@@ -85,6 +88,25 @@
         return true;
     }
 
+    /** Whether a whole gang fits now: it is tried out on a draft that is thrown away. */
+    private boolean bookable(Draft draft, JobRecord gang, List<MachineRecord> machines) {
+        if (!gang.live().isEmpty()) {
+            return false;
+        }
+        Draft trial = draft.copy();
+        JobRecord job = gang;
+        while (job.waiting() > 0) {
+            MachineRecord machine = placing.withinLimit(job.request(), trial) && trial.canPlace(job)
+                    ? fullest(trial, job, machines) : null;
+            if (machine == null) {
+                return false;
+            }
+            trial.place(job, job.nextWaiting(), machine);
+            job = trial.job(job.request().id());
+        }
+        return true;
+    }
+
     private MachineRecord fullest(Draft draft, JobRecord job, List<MachineRecord> machines) {
         MachineRecord best = null;
         double bestFree = 0;
