Book from the draft, so that a job is never ended and placed in one commit

Excluded: stale polls (the store itself held both). Change: booking takes the job from the draft, a draft refuses to bring back what it ended, and a failing step no longer stops the others. Test: ReservedBookingTest.

--- a/src/main/java/org/gullway/Controller.java
+++ b/src/main/java/org/gullway/Controller.java
@@ -6,7 +6,6 @@
 import java.time.Duration;
 import java.time.Instant;
 import java.util.HashMap;
-import java.util.List;
 import java.util.Map;
 import java.util.SplittableRandom;
 import org.gullway.bookkeeping.Ledger;
@@ -241,16 +240,15 @@
         if (view.leader() == null) {
             draft.put(Keys.LEADER, self);
         }
-        users.propose(draft, timeOfDay);
-        machines.propose(draft, now, timeOfDay);
-        repair.propose(draft, leading, now);
+        step("requests", () -> users.propose(draft, timeOfDay));
+        step("machines", () -> machines.propose(draft, now, timeOfDay));
+        step("repair", () -> repair.propose(draft, leading, now));
         if (leading) {
-            cloud.propose(draft, timeOfDay);
-            booking.propose(draft, now);
-            fleet.propose(draft, now, timeOfDay);
+            step("arrivals", () -> cloud.propose(draft, timeOfDay));
+            step("booking", () -> booking.propose(draft, now));
+            step("fleet", () -> fleet.propose(draft, now, timeOfDay));
         }
-        List<BestEffortQueue.Outgoing> offers = queue.propose(draft, machines.ready(now), now);
-        offers.forEach(this::send);
+        step("queue", () -> queue.propose(draft, machines.ready(now), now).forEach(this::send));
         if (draft.isEmpty()) {
             return;
         }
@@ -264,6 +262,15 @@
         });
     }
 
+    /** One step that fails must not keep the others from their work, round after round. */
+    private static void step(String name, Runnable step) {
+        try {
+            step.run();
+        } catch (RuntimeException e) {
+            LOG.error("the step {} of a round failed", name, e);
+        }
+    }
+
     private void send(MachineControl.Push push) {
         metrics.pushed();
         byte[] body = Command.direct(push.token(), push.session(), push.commands());
--- a/src/main/java/org/gullway/coordination/Draft.java
+++ b/src/main/java/org/gullway/coordination/Draft.java
@@ -107,6 +107,10 @@
     /** Records the job; one that is over moves to where final states are kept. */
     public void putJob(JobRecord job) {
         String id = job.request().id();
+        if (changes.containsKey(Keys.job(id)) && changes.get(Keys.job(id)) == null) {
+            // It was once possible to record a job as ended and to keep it running in one commit.
+            throw new IllegalStateException(id + " has ended in this commit");
+        }
         if (job.over()) {
             remove(Keys.job(id));
             JobState state = job.state();
--- a/src/main/java/org/gullway/coordination/ReservedBooking.java
+++ b/src/main/java/org/gullway/coordination/ReservedBooking.java
@@ -47,7 +47,9 @@
         }
         List<JobRecord> unfitted = new ArrayList<>();
         for (JobRecord job : waiting) {
-            if (!book(draft, job, machines)) {
+            // Another part of this round may have cancelled the job or ended tasks of it already.
+            JobRecord current = draft.job(job.request().id());
+            if (current != null && !book(draft, current, machines)) {
                 unfitted.add(draft.job(job.request().id()));
             }
         }
--- /dev/null
+++ b/src/test/java/org/gullway/coordination/ReservedBookingTest.java
@@ -0,0 +1,64 @@
+package org.gullway.coordination;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import java.time.Instant;
+import org.gullway.protocol.Rank;
+import org.junit.jupiter.api.Test;
+
+class ReservedBookingTest {
+    private final ClusterView view = Samples.view();
+    private final ReservedBooking booking = new ReservedBooking(view, Samples.placing(), new JobPauses());
+
+    private Draft draft() {
+        return new Draft(view, Samples.SELF, Samples.LIMITS);
+    }
+
+    private void accept(String id, String team, Rank rank, int tasks, double cpus, long mark) {
+        view.put(Keys.job(id), JobRecord.accepted(Samples.request(id, team, rank, tasks, cpus), null, Samples.DAY), mark);
+    }
+
+    @Test
+    void takesTheFullestMachineThatFits() {
+        view.put(Keys.machine("vm-1"), Samples.machine("vm-1", "large", Samples.SELF), 10);
+        view.put(Keys.machine("vm-2"), Samples.machine("vm-2", "small", Samples.PEER), 11);
+        accept("run-000001", "red", Rank.HIGH, 1, 4, 12);
+        Draft draft = draft();
+        booking.propose(draft, Instant.EPOCH);
+        assertThat(draft.job("run-000001").live()).extracting(Placement::machine).containsExactly("vm-2");
+        assertThat(draft.guards()).contains(Keys.machine("vm-2"), Keys.team("red"), Keys.member("perch-0"));
+    }
+
+    @Test
+    void staysWithinTheTeamsLimit() {
+        view.put(Keys.machine("vm-1"), Samples.machine("vm-1", "large", Samples.SELF), 10);
+        view.put(Keys.machine("vm-2"), Samples.machine("vm-2", "large", Samples.SELF), 11);
+        accept("run-000001", "red", Rank.HIGH, 20, 4, 12);
+        Draft draft = draft();
+        booking.propose(draft, Instant.EPOCH);
+        assertThat(draft.job("run-000001").live()).hasSize(8);
+        assertThat(draft.changes()).doesNotContainKey(Keys.CLOSED);
+    }
+
+    @Test
+    void closesMachinesWhileReservedWorkWaits() {
+        view.put(Keys.machine("vm-1"), Samples.machine("vm-1", "small", Samples.SELF), 10);
+        accept("run-000001", "red", Rank.HIGH, 6, 4, 12);
+        Draft draft = draft();
+        booking.propose(draft, Instant.EPOCH);
+        assertThat(draft.job("run-000001").live()).hasSize(4);
+        assertThat(draft.changes()).containsEntry(Keys.CLOSED, new ClosedMachines(java.util.Set.of("vm-1")));
+    }
+
+    /** Once, a job cancelled and booked in the same round was recorded as ended and went on running (hunt-ffe4-7). */
+    @Test
+    void leavesAJobAloneThatTheSameRoundCancelled() {
+        view.put(Keys.machine("vm-1"), Samples.machine("vm-1", "large", Samples.SELF), 10);
+        accept("run-000001", "red", Rank.HIGH, 2, 4, 12);
+        Draft draft = draft();
+        draft.putJob(view.job("run-000001").cancel());
+        booking.propose(draft, Instant.EPOCH);
+        assertThat(draft.job("run-000001")).isNull();
+        assertThat(draft.changes().get(Keys.ended("run-000001"))).isInstanceOf(Draft.Ended.class);
+    }
+}
--- /dev/null
+++ b/src/test/java/org/gullway/coordination/Samples.java
@@ -0,0 +1,64 @@
+package org.gullway.coordination;
+
+import java.time.Duration;
+import java.time.Instant;
+import java.util.List;
+import java.util.Map;
+import org.gullway.protocol.JobRequest;
+import org.gullway.protocol.MachineType;
+import org.gullway.protocol.Rank;
+import org.gullway.protocol.Settings;
+
+/** Small clusters for tests. */
+public final class Samples {
+    public static final Incarnation SELF = new Incarnation("perch-0", 17);
+    public static final Incarnation PEER = new Incarnation("perch-1", 18);
+    public static final Instant DAY = Instant.parse("2026-11-20T06:00:00Z");
+    public static final Draft.Limits LIMITS = new Draft.Limits(24, 16 * 1024);
+
+    private Samples() {
+    }
+
+    public static JobRequest request(String id, String team, Rank rank, int tasks, double cpus) {
+        return new JobRequest(id, "render", team, JobRequest.Shape.ARRAY, rank, tasks, cpus, 0, cpus, "img-1", 0.5,
+                null, null, false, false, true, Duration.ofSeconds(20), Duration.ZERO, Duration.ZERO, null);
+    }
+
+    public static Placing placing() {
+        Placing placing = new Placing(Map.of(
+                "red", new Settings.Team("red", 16, 32, 0, 0),
+                "blue", new Settings.Team("blue", 16, 64, 0, 0)));
+        placing.learn(List.of(type("small", 16), type("large", 32)));
+        return placing;
+    }
+
+    public static MachineType type(String name, double cpus) {
+        return new MachineType(name, cpus, 0, cpus * 4, 50, 1, cpus / 10, cpus / 30, Duration.ofSeconds(30), List.of("a"));
+    }
+
+    public static MachineRecord machine(String name, String type, Incarnation controller) {
+        return MachineRecord.booting(name, type, "a", true, DAY).claimed(controller, "10.1.0.1:9000", 1, 1);
+    }
+
+    /** A view with both controllers as members, the first leading, at epoch 1. */
+    public static ClusterView view() {
+        ClusterView view = new ClusterView();
+        view.put(Keys.member(SELF.node()), SELF, 1);
+        view.put(Keys.member(PEER.node()), PEER, 2);
+        view.put(Keys.LEADER, SELF, 3);
+        view.put(Keys.EPOCH, 1L, 4);
+        view.watchedTo(1000);
+        return view;
+    }
+
+    /** Applies a draft as if the store had committed it. */
+    public static void commit(ClusterView view, Draft draft, long revision) {
+        draft.changes().forEach((key, value) -> {
+            if (value == null) {
+                view.remove(key, revision);
+            } else if (key.startsWith(Keys.LIVE)) {
+                view.put(key, value, revision);
+            }
+        });
+    }
+}
