--- a/src/main/java/org/gullway/CloudLoop.java
+++ b/src/main/java/org/gullway/CloudLoop.java
@@ -2,6 +2,7 @@
 
 import java.time.Duration;
 import java.time.Instant;
+import java.time.InstantSource;
 import java.util.ArrayDeque;
 import java.util.ArrayList;
 import java.util.Deque;
@@ -23,7 +24,7 @@
 import org.gullway.protocol.CloudMessages.Listed;
 import org.gullway.protocol.MalformedException;
 import org.gullway.transport.EventLoop;
-import org.gullway.transport.HttpClient;
+import org.gullway.transport.Client;
 import org.gullway.transport.Reply;
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
@@ -37,12 +38,13 @@
     private static final Duration GONE_REMEMBERED = Duration.ofMinutes(2);
 
     private final EventLoop loop;
-    private final HttpClient http;
+    private final Client http;
     private final String address;
     private final ClusterView view;
     private final Placing placing;
     private final FleetPlan fleet;
     private final Incarnation self;
+    private final InstantSource timeOfDay;
     private final Runnable changed;
     private final double callsPerSecond;
     private final Instant started;
@@ -67,8 +69,8 @@
     private record Arrival(FleetPlan.Rental rental, Instant rented) {
     }
 
-    CloudLoop(EventLoop loop, HttpClient http, String address, double callsPerSecond, ClusterView view, Placing placing,
-              FleetPlan fleet, Incarnation self, Runnable changed) {
+    CloudLoop(EventLoop loop, Client http, String address, double callsPerSecond, ClusterView view, Placing placing,
+              FleetPlan fleet, Incarnation self, InstantSource timeOfDay, Runnable changed) {
         this.loop = loop;
         this.http = http;
         this.address = address;
@@ -77,6 +79,7 @@
         this.placing = placing;
         this.fleet = fleet;
         this.self = self;
+        this.timeOfDay = timeOfDay;
         this.changed = changed;
         this.started = loop.now();
         this.budgetAt = started;
@@ -243,7 +246,7 @@
                     && !arrivals.containsKey(machine.name())) {
                 arrivals.put(machine.name(), new Arrival(
                         new FleetPlan.Rental(machine.type(), machine.zone(), machine.spot(), 1),
-                        Instant.now().minus(machine.age())));
+                        timeOfDay.instant().minus(machine.age())));
             }
         }
         changed.run();
--- a/src/main/java/org/gullway/Controller.java
+++ b/src/main/java/org/gullway/Controller.java
@@ -1,10 +1,8 @@
 package org.gullway;
 
-import io.undertow.connector.ByteBufferPool;
-import io.undertow.server.DefaultByteBufferPool;
-import java.io.IOException;
 import java.time.Duration;
 import java.time.Instant;
+import java.time.InstantSource;
 import java.util.HashMap;
 import java.util.Map;
 import java.util.SplittableRandom;
@@ -29,17 +27,12 @@
 import org.gullway.protocol.OperatorSettings;
 import org.gullway.protocol.Settings;
 import org.gullway.protocol.WorkerReport;
+import org.gullway.transport.Call;
+import org.gullway.transport.Client;
 import org.gullway.transport.EventLoop;
-import org.gullway.transport.HttpClient;
-import org.gullway.transport.HttpServer;
-import org.gullway.transport.HttpServer.Call;
 import org.gullway.transport.Reply;
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
-import org.xnio.OptionMap;
-import org.xnio.Options;
-import org.xnio.Xnio;
-import org.xnio.XnioWorker;
 
 /**
  * One controller. Whatever happens (a report, a request, a change in the store, the passing of time) asks for a round;
@@ -47,14 +40,13 @@
  */
 final class Controller {
     private static final Logger LOG = LoggerFactory.getLogger(Controller.class);
-    private static final int BODY_LIMIT = 64 * 1024;
     private static final Duration TICK = Duration.ofMillis(250);
     private static final Duration COMMAND_LIMIT = Duration.ofSeconds(4);
     private static final Duration OFFER_LIMIT = Duration.ofSeconds(2);
 
-    private final Settings settings;
     private final EventLoop loop;
-    private final HttpClient http;
+    private final Client http;
+    private final InstantSource timeOfDay;
     private final ClusterView view = new ClusterView();
     private final Incarnation self;
     private final Ledger ledger;
@@ -70,15 +62,21 @@
     private final Metrics metrics = new Metrics();
     private final Map<String, String> meshAddresses = new HashMap<>();
     private final Draft.Limits limits;
+    private final Duration logInterval;
     private boolean scheduled;
 
-    private Controller(Settings settings, OperatorSettings operator, EventLoop loop, HttpClient http) {
-        this.settings = settings;
+    /**
+     * @param timeOfDay the wall clock, which wanders within the bound that the platform states
+     * @param seed of everything that is decided by chance; no two processes may share it
+     */
+    Controller(Settings settings, OperatorSettings operator, EventLoop loop, Client http, InstantSource timeOfDay,
+               long seed) {
         this.loop = loop;
         this.http = http;
-        SplittableRandom random = new SplittableRandom(System.nanoTime() ^ settings.nodeName().hashCode());
+        this.timeOfDay = timeOfDay;
+        SplittableRandom random = new SplittableRandom(seed);
         this.self = new Incarnation(settings.nodeName(),
-                (System.currentTimeMillis() << 12 | random.nextInt(1 << 12)) & Long.MAX_VALUE);
+                (timeOfDay.millis() << 12 | random.nextInt(1 << 12)) & Long.MAX_VALUE);
         Membership membership = new Membership(self, operator.membershipLease());
         this.ledger = new Ledger(loop, new StateStore(http, settings.stateAddress()), view, membership, this::schedule);
         this.placing = new Placing(settings.teams());
@@ -90,37 +88,23 @@
         this.fleet = new FleetPlan(view, placing,
                 new FleetPlan.Policy(operator.spareShare(), operator.idleReturn(), operator.bootPatience()));
         this.cloud = new CloudLoop(loop, http, settings.cloudAddress(), settings.cloudRequestsPerSecond(), view, placing,
-                fleet, self, this::schedule);
+                fleet, self, timeOfDay, this::schedule);
         this.users = new UserApi(loop, view, ledger, placing, random.split(), metrics, this::schedule);
         this.limits = new Draft.Limits(settings.stateChangesPerCommit(), settings.stateValueBytes());
         settings.peers().forEach(peer -> meshAddresses.put(peer.name(), peer.address()));
-        loop.every(operator.logInterval(), this::logFigures);
+        this.logInterval = operator.logInterval();
     }
 
-    static void start(Settings settings, OperatorSettings operator) throws IOException {
-        XnioWorker worker = Xnio.getInstance().createWorker(OptionMap.builder()
-                .set(Options.WORKER_NAME, "gullway")
-                .set(Options.WORKER_IO_THREADS, 1)
-                .set(Options.WORKER_TASK_CORE_THREADS, 1)
-                .set(Options.WORKER_TASK_MAX_THREADS, 1)
-                .set(Options.TCP_NODELAY, true)
-                .set(Options.REUSE_ADDRESSES, true)
-                .getMap());
-        ByteBufferPool buffers = new DefaultByteBufferPool(false, 8 * 1024, 256, 4);
-        EventLoop loop = new EventLoop(worker.getIoThread());
-        Controller controller = new Controller(settings, operator, loop, new HttpClient(loop, buffers));
-        HttpServer.start(worker, buffers, settings.publicAddress(), BODY_LIMIT, controller::answer);
-        HttpServer.start(worker, buffers, settings.meshAddress(), BODY_LIMIT, controller::answerPeer);
-        loop.execute(() -> {
-            controller.ledger.start();
-            loop.every(TICK, controller::tick);
-        });
-        LOG.info("{} listens on {} and {}", settings.nodeName(), settings.publicAddress(), settings.meshAddress());
+    /** Begins to read the store, to join, and to tick. */
+    void start() {
+        ledger.start();
+        loop.every(TICK, this::tick);
+        loop.every(logInterval, this::logFigures);
     }
 
     // Requests
 
-    private void answer(Call call) {
+    void answer(Call call) {
         String path = call.path();
         String method = call.method();
         if (path.equals("/up")) {
@@ -182,7 +166,7 @@
         }
     }
 
-    private void answerPeer(Call call) {
+    void answerPeer(Call call) {
         if (!call.path().equals("/offer") || call.body() == null) {
             call.answer(404, new byte[0]);
             return;
@@ -234,19 +218,19 @@
     }
 
     private void decide(Instant now) {
-        Instant timeOfDay = Instant.now();
+        Instant today = timeOfDay.instant();
         Draft draft = new Draft(view, self, limits);
         boolean leading = leading();
         if (view.leader() == null) {
             draft.put(Keys.LEADER, self);
         }
-        step("requests", () -> users.propose(draft, timeOfDay));
-        step("machines", () -> machines.propose(draft, now, timeOfDay));
+        step("requests", () -> users.propose(draft, today));
+        step("machines", () -> machines.propose(draft, now, today));
         step("repair", () -> repair.propose(draft, leading, now));
         if (leading) {
-            step("arrivals", () -> cloud.propose(draft, timeOfDay));
+            step("arrivals", () -> cloud.propose(draft, today));
             step("booking", () -> booking.propose(draft, now));
-            step("fleet", () -> fleet.propose(draft, now, timeOfDay));
+            step("fleet", () -> fleet.propose(draft, now, today));
         }
         step("queue", () -> queue.propose(draft, machines.ready(now), now).forEach(this::send));
         if (draft.isEmpty()) {
--- /dev/null
+++ b/src/main/java/org/gullway/Daemon.java
@@ -0,0 +1,47 @@
+package org.gullway;
+
+import io.undertow.connector.ByteBufferPool;
+import io.undertow.server.DefaultByteBufferPool;
+import java.io.IOException;
+import java.time.InstantSource;
+import org.gullway.protocol.OperatorSettings;
+import org.gullway.protocol.Settings;
+import org.gullway.transport.HttpClient;
+import org.gullway.transport.HttpServer;
+import org.gullway.transport.XnioEventLoop;
+import org.slf4j.Logger;
+import org.slf4j.LoggerFactory;
+import org.xnio.OptionMap;
+import org.xnio.Options;
+import org.xnio.Xnio;
+import org.xnio.XnioWorker;
+
+/** A controller on real sockets and clocks. */
+final class Daemon {
+    private static final Logger LOG = LoggerFactory.getLogger(Daemon.class);
+    private static final int BODY_LIMIT = 64 * 1024;
+    private static final int BUFFER = 8 * 1024;
+
+    private Daemon() {
+    }
+
+    static void start(Settings settings, OperatorSettings operator) throws IOException {
+        XnioWorker worker = Xnio.getInstance().createWorker(OptionMap.builder()
+                .set(Options.WORKER_NAME, "gullway")
+                .set(Options.WORKER_IO_THREADS, 1)
+                .set(Options.WORKER_TASK_CORE_THREADS, 1)
+                .set(Options.WORKER_TASK_MAX_THREADS, 1)
+                .set(Options.TCP_NODELAY, true)
+                .set(Options.REUSE_ADDRESSES, true)
+                .getMap());
+        ByteBufferPool buffers = new DefaultByteBufferPool(false, BUFFER, 256, 4);
+        XnioEventLoop loop = new XnioEventLoop(worker.getIoThread());
+        long seed = System.nanoTime() ^ System.currentTimeMillis() << 20 ^ settings.nodeName().hashCode();
+        Controller controller = new Controller(settings, operator, loop, new HttpClient(loop, buffers),
+                InstantSource.system(), seed);
+        HttpServer.start(worker, buffers, settings.publicAddress(), BODY_LIMIT, controller::answer);
+        HttpServer.start(worker, buffers, settings.meshAddress(), BODY_LIMIT, controller::answerPeer);
+        loop.execute(controller::start);
+        LOG.info("{} listens on {} and {}", settings.nodeName(), settings.publicAddress(), settings.meshAddress());
+    }
+}
--- a/src/main/java/org/gullway/Main.java
+++ b/src/main/java/org/gullway/Main.java
@@ -64,7 +64,7 @@
             return FAULTY_SETTINGS;
         }
         if (!checkOnly) {
-            Controller.start(settings, operator);
+            Daemon.start(settings, operator);
         }
         return 0;
     }
--- a/src/main/java/org/gullway/UserApi.java
+++ b/src/main/java/org/gullway/UserApi.java
@@ -25,7 +25,7 @@
 import org.gullway.protocol.MalformedException;
 import org.gullway.protocol.MachineType;
 import org.gullway.transport.EventLoop;
-import org.gullway.transport.HttpServer.Call;
+import org.gullway.transport.Call;
 import org.gullway.transport.Reply;
 
 /**
--- a/src/main/java/org/gullway/bookkeeping/StateStore.java
+++ b/src/main/java/org/gullway/bookkeeping/StateStore.java
@@ -10,7 +10,7 @@
 import java.util.function.ToLongFunction;
 import org.gullway.protocol.Cbor;
 import org.gullway.protocol.MalformedException;
-import org.gullway.transport.HttpClient;
+import org.gullway.transport.Client;
 import org.gullway.transport.Reply;
 
 /** The state service's calls. Every answer that is not of the stated form counts as unknown. */
@@ -18,10 +18,10 @@
     private static final Duration LIMIT = Duration.ofSeconds(3);
     private static final int PAGE = 500;
 
-    private final HttpClient http;
+    private final Client http;
     private final String address;
 
-    public StateStore(HttpClient http, String address) {
+    public StateStore(Client http, String address) {
         this.http = http;
         this.address = address;
     }
--- /dev/null
+++ b/src/main/java/org/gullway/transport/Call.java
@@ -0,0 +1,22 @@
+package org.gullway.transport;
+
+import java.time.Duration;
+
+/** One request with the means to answer it, at once or later, always exactly once. */
+public interface Call {
+    String method();
+
+    /** The path without the query. */
+    String path();
+
+    /** The query without its question mark, empty if there is none. */
+    String query();
+
+    /** The body, or null if it was larger than allowed. */
+    byte[] body();
+
+    void answer(int status, byte[] content);
+
+    /** Refuses for now and says when to come back. */
+    void refuse(int status, Duration retryAfter);
+}
--- /dev/null
+++ b/src/main/java/org/gullway/transport/Client.java
@@ -0,0 +1,10 @@
+package org.gullway.transport;
+
+import java.util.function.Consumer;
+
+/** Calls other processes. */
+@FunctionalInterface
+public interface Client {
+    /** Makes the call; the callback gets exactly one reply, on the event loop, within the request's time limit. */
+    void call(String address, Reply.Request request, Consumer<Reply> callback);
+}
--- a/src/main/java/org/gullway/transport/HttpClient.java
+++ b/src/main/java/org/gullway/transport/HttpClient.java
@@ -26,18 +26,19 @@
 import org.xnio.channels.StreamSourceChannel;
 
 /** Calls over kept connections, each with a time limit, all on the event loop. */
-public final class HttpClient {
+public final class HttpClient implements Client {
     private static final int IDLE_PER_ADDRESS = 4;
 
-    private final EventLoop loop;
+    private final XnioEventLoop loop;
     private final ByteBufferPool buffers;
     private final Map<String, Deque<ClientConnection>> idle = new HashMap<>();
 
-    public HttpClient(EventLoop loop, ByteBufferPool buffers) {
+    public HttpClient(XnioEventLoop loop, ByteBufferPool buffers) {
         this.loop = loop;
         this.buffers = buffers;
     }
 
+    @Override
     public void call(String address, Reply.Request request, Consumer<Reply> callback) {
         new Call(address, request, callback).begin();
     }
--- a/src/main/java/org/gullway/transport/HttpServer.java
+++ b/src/main/java/org/gullway/transport/HttpServer.java
@@ -18,29 +18,36 @@
         void handle(Call call);
     }
 
-    /** One request with the means to answer it. */
-    public static final class Call {
+    private static final class ExchangeCall implements Call {
         private final HttpServerExchange exchange;
         private final byte[] body;
 
-        private Call(HttpServerExchange exchange, byte[] body) {
+        private ExchangeCall(HttpServerExchange exchange, byte[] body) {
             this.exchange = exchange;
             this.body = body;
         }
 
+        @Override
         public String method() {
             return exchange.getRequestMethod().toString();
         }
 
+        @Override
         public String path() {
             return exchange.getRequestPath();
         }
 
-        /** The body, or null if it was larger than allowed. */
+        @Override
+        public String query() {
+            return exchange.getQueryString();
+        }
+
+        @Override
         public byte[] body() {
             return body;
         }
 
+        @Override
         public void answer(int status, byte[] content) {
             if (exchange.isResponseStarted()) {
                 return;
@@ -57,6 +64,7 @@
             }
         }
 
+        @Override
         public void refuse(int status, Duration retryAfter) {
             exchange.getResponseHeaders().put(Headers.RETRY_AFTER, Math.max(1, retryAfter.toSeconds()));
             answer(status, new byte[0]);
@@ -100,11 +108,11 @@
     private static void hand(HttpServerExchange exchange, byte[] body, Handler handler) {
         exchange.dispatch(SameThreadExecutor.INSTANCE, () -> {
             try {
-                handler.handle(new Call(exchange, body));
+                handler.handle(new ExchangeCall(exchange, body));
             } catch (RuntimeException e) {
                 org.slf4j.LoggerFactory.getLogger(HttpServer.class)
                         .error("{} {} failed", exchange.getRequestMethod(), exchange.getRequestPath(), e);
-                new Call(exchange, body).refuse(503, Duration.ofSeconds(2));
+                new ExchangeCall(exchange, body).refuse(503, Duration.ofSeconds(2));
             }
         });
     }
--- /dev/null
+++ b/src/test/java/org/gullway/SimulatedWorld.java
@@ -0,0 +1,299 @@
+package org.gullway;
+
+import java.time.Duration;
+import java.time.Instant;
+import java.time.InstantSource;
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.HashSet;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Set;
+import java.util.SplittableRandom;
+import org.gullway.protocol.Cbor;
+import org.gullway.protocol.JobRequest;
+import org.gullway.protocol.MachineType;
+import org.gullway.protocol.MalformedException;
+import org.gullway.protocol.OperatorSettings;
+import org.gullway.protocol.Rank;
+import org.gullway.protocol.Settings;
+import org.gullway.standin.SimulatedNetwork;
+import org.gullway.standin.SimulatedTime;
+import org.gullway.standin.StandInCloud;
+import org.gullway.standin.StandInStore;
+import org.gullway.standin.StandInWorker;
+import org.gullway.transport.Client;
+import org.gullway.transport.Reply;
+
+/** Three whole controllers with stand-ins in virtual time, users who submit and ask, and a check of the rules. */
+final class SimulatedWorld {
+    static final Duration LEASE = Duration.ofSeconds(20);
+    static final Duration CANCEL = Duration.ofSeconds(40);
+    private static final Instant MORNING = Instant.parse("2026-11-20T06:00:00Z");
+    private static final String STATE = "10.2.0.1:2379";
+    private static final String CLOUD = "10.2.0.2:8443";
+
+    final SimulatedTime time = new SimulatedTime();
+    final SplittableRandom random;
+    final SimulatedNetwork network;
+    final StandInStore store;
+    final StandInCloud cloud;
+    final List<String> broken = new ArrayList<>();
+    private final SimulatedTime.Process world = time.process();
+    private final Map<String, SimulatedTime.Process> running = new HashMap<>();
+    private final Map<String, String> addresses = new LinkedHashMap<>();
+    private final Map<String, Settings.Team> teams = Map.of(
+            "red", new Settings.Team("red", 16, 24, 0, 0), "blue", new Settings.Team("blue", 16, 64, 0, 0));
+    private final Map<String, User> users = new LinkedHashMap<>();
+    /** Machines on which a task is now. */
+    private final Map<String, Set<String>> places = new HashMap<>();
+    private final Set<String> completed = new HashSet<>();
+    private int started;
+
+    /** A job with what its user was told. */
+    final class User {
+        final JobRequest request;
+        final Duration runTime;
+        private final Client client;
+        private boolean accepted;
+        private String told = "";
+        private Instant cancelTold;
+        private boolean cancelAsked;
+
+        User(JobRequest request, Duration runTime) {
+            this.request = request;
+            this.runTime = runTime;
+            this.client = network.client("users", world);
+        }
+
+        boolean over() {
+            return told.equals("done") || told.equals("aborted");
+        }
+
+        private String node() {
+            return List.copyOf(addresses.values()).get(random.nextInt(addresses.size()));
+        }
+
+        void submit() {
+            client.call(node(), Reply.Request.post("/v2/runs", Cbor.encode(request.toNode()), Duration.ofSeconds(5)),
+                    reply -> {
+                        if (reply.status() == 201 || reply.status() == 200) {
+                            accepted = true;
+                            poll();
+                        } else if (reply.status() == 400 || reply.status() == 422) {
+                            broken.add("forgotten: " + request.id() + " was refused with " + reply.status());
+                        } else {
+                            world.after(Duration.ofSeconds(1), this::submit);
+                        }
+                    });
+        }
+
+        void cancel() {
+            if (over()) {
+                return;
+            }
+            cancelAsked = true;
+            client.call(node(), Reply.Request.post("/v2/runs/" + request.id() + "/withdraw",
+                    Cbor.encode(Cbor.map()), Duration.ofSeconds(5)), reply -> {
+                if (reply.status() == 200) {
+                    hear(reply, time.now());
+                } else if (reply.status() == 404 && accepted) {
+                    broken.add("forgotten: cancellation of " + request.id());
+                } else {
+                    world.after(Duration.ofSeconds(1), this::cancel);
+                }
+            });
+        }
+
+        private void poll() {
+            Instant asked = time.now();
+            client.call(node(), Reply.Request.get("/v2/runs/" + request.id(), Duration.ofSeconds(2)), reply -> {
+                if (reply.status() == 200) {
+                    hear(reply, asked);
+                } else if (reply.status() == 404) {
+                    broken.add("forgotten: " + request.id());
+                }
+            });
+            world.after(Duration.ofSeconds(over() ? 25 : 5), this::poll);
+        }
+
+        private Instant toldAt = Instant.MIN;
+
+        private void hear(Reply reply, Instant asked) {
+            String state;
+            try {
+                state = Cbor.decode(reply.body()).path("tide").asText();
+            } catch (MalformedException e) {
+                broken.add("unreadable answer: " + e.getMessage());
+                return;
+            }
+            if (over() && !state.equals(told) && asked.isAfter(toldAt)) {
+                broken.add("went_back: " + request.id() + " was " + told + ", then " + state);
+            }
+            if (state.equals("aborted") && !cancelAsked) {
+                broken.add("went_back: " + request.id() + " is cancelled by nobody");
+            }
+            if (state.equals("done")) {
+                for (int i = 0; i < request.tasks(); i++) {
+                    if (!completed.contains(request.id() + "/" + i)) {
+                        broken.add("not_done: " + request.id() + "/" + i);
+                    }
+                }
+            }
+            if (!over() && (state.equals("done") || state.equals("aborted"))) {
+                told = state;
+                toldAt = time.now();
+                if (state.equals("aborted")) {
+                    cancelTold = time.now();
+                    world.after(CANCEL, () -> places.forEach((task, machines) -> {
+                        if (task.startsWith(request.id() + "/") && !machines.isEmpty()) {
+                            broken.add("ran_cancelled: " + task + " is on " + machines);
+                        }
+                    }));
+                }
+            }
+        }
+    }
+
+    SimulatedWorld(long seed, double trouble, int capacity) {
+        random = new SplittableRandom(seed);
+        network = new SimulatedNetwork(time, random.split(), trouble);
+        store = new StandInStore(world);
+        List<MachineType> types = List.of(
+                new MachineType("small", 16, 0, 64, 50, 1, 1.0, 0.3, Duration.ofSeconds(6), List.of("a", "b")),
+                new MachineType("large", 32, 0, 256, 50, 1, 2.5, 0.9, Duration.ofSeconds(4), List.of("a", "b")));
+        for (int i = 0; i < 3; i++) {
+            addresses.put("perch-" + i, "10.0.0." + (i + 1) + ":8080");
+        }
+        cloud = new StandInCloud(world, types, capacity, (name, kind) -> {
+            String address = "10.1.0." + Integer.parseInt(name.substring(3)) + ":9000";
+            StandInWorker worker = new StandInWorker(world, network.client(name, world), new Rules(), random.split(),
+                    name, address, kind, addresses, Duration.ofSeconds(3), LEASE);
+            network.listen(address, world, worker::handle);
+            return worker;
+        });
+        network.listen(STATE, world, store::handle);
+        network.listen(CLOUD, world, cloud::handle);
+        addresses.keySet().forEach(this::startController);
+    }
+
+    /** The world as the workers see it, and the rules that concern them. */
+    private final class Rules implements StandInWorker.World {
+        @Override
+        public JobRequest describe(String job) {
+            User user = users.get(job);
+            return user == null ? null : user.request;
+        }
+
+        @Override
+        public Duration runTime(String job) {
+            return users.get(job).runTime;
+        }
+
+        @Override
+        public boolean fails(String machine, String job) {
+            return false;
+        }
+
+        @Override
+        public boolean completed(String task) {
+            return completed.contains(task);
+        }
+
+        @Override
+        public void began(String machine, String task) {
+            started++;
+            Set<String> on = places.computeIfAbsent(task, t -> new HashSet<>());
+            if (!on.isEmpty()) {
+                broken.add("ran_twice: " + task + " starts on " + machine + " while on " + on);
+            }
+            on.add(machine);
+            User user = users.get(task.substring(0, task.indexOf('/')));
+            if (user.cancelTold != null && time.now().isAfter(user.cancelTold.plus(CANCEL))) {
+                broken.add("ran_cancelled: " + task + " starts");
+            }
+            StandInWorker worker = cloud.workers().stream().filter(w -> w.name().equals(machine)).findFirst().orElse(null);
+            if (worker != null && worker.kind().spot() && !user.request.spot()) {
+                broken.add("wrong_place: " + task + " on " + machine);
+            }
+            String team = user.request.team();
+            double use = 0;
+            for (Map.Entry<String, Set<String>> place : places.entrySet()) {
+                User other = users.get(place.getKey().substring(0, place.getKey().indexOf('/')));
+                use += other.request.team().equals(team) ? place.getValue().size() * other.request.cpus() : 0;
+            }
+            if (use > teams.get(team).cpusMax() + 1e-6) {
+                broken.add("quota: " + team + " uses " + use);
+            }
+        }
+
+        @Override
+        public void ended(String machine, String task, boolean done) {
+            places.getOrDefault(task, Set.of()).remove(machine);
+            if (done) {
+                completed.add(task);
+            }
+        }
+    }
+
+    void startController(String name) {
+        if (running.containsKey(name)) {
+            return;
+        }
+        SimulatedTime.Process process = time.process();
+        running.put(name, process);
+        List<Settings.Peer> peers = addresses.entrySet().stream().filter(e -> !e.getKey().equals(name))
+                .map(e -> new Settings.Peer(e.getKey(), "a", e.getValue().replace("8080", "8081"))).toList();
+        Settings settings = new Settings(name, "a", addresses.get(name), addresses.get(name).replace("8080", "8081"),
+                peers, CLOUD, STATE, teams, List.of(), Duration.ofSeconds(3), LEASE, CANCEL, 150, 30, 16 * 1024, 24, 10,
+                Duration.ofSeconds(3), 1000);
+        long skew = random.nextInt(2000) - 1000;
+        InstantSource clock = () -> MORNING.plusMillis(skew).plus(Duration.between(Instant.EPOCH, time.now()));
+        Controller controller = new Controller(settings, OperatorSettings.DEFAULTS, process,
+                network.client(name, process), clock, random.nextLong());
+        network.listen(settings.publicAddress(), process, controller::answer);
+        network.listen(settings.meshAddress(), process, controller::answerPeer);
+        controller.start();
+    }
+
+    void crash(String name, Duration back) {
+        SimulatedTime.Process process = running.remove(name);
+        if (process != null) {
+            process.kill();
+            network.close(addresses.get(name));
+            network.close(addresses.get(name).replace("8080", "8081"));
+            world.after(back, () -> startController(name));
+        }
+    }
+
+    void submit(int number, String team, Rank rank, int tasks, double cpus, Duration runTime) {
+        String id = String.format("run-%06d", number);
+        JobRequest request = new JobRequest(id, "render", team, JobRequest.Shape.ARRAY, rank, tasks, cpus, 0, cpus,
+                "img-" + number % 3, 0.5, null, null, false, false, number % 4 != 0, runTime, Duration.ZERO,
+                Duration.ZERO, null);
+        User user = new User(request, runTime);
+        users.put(id, user);
+        user.submit();
+    }
+
+    void after(Duration delay, Runnable task) {
+        world.after(delay, task);
+    }
+
+    void run(Duration span) {
+        time.runUntil(time.now().plus(span));
+    }
+
+    List<User> users() {
+        return List.copyOf(users.values());
+    }
+
+    List<String> unfinished() {
+        return users.values().stream().filter(u -> !u.over()).map(u -> u.request.id() + " " + u.told).toList();
+    }
+
+    int started() {
+        return started;
+    }
+}
--- /dev/null
+++ b/src/test/java/org/gullway/standin/SimulatedNetwork.java
@@ -0,0 +1,140 @@
+package org.gullway.standin;
+
+import java.time.Duration;
+import java.util.HashMap;
+import java.util.HashSet;
+import java.util.Map;
+import java.util.Set;
+import java.util.function.Consumer;
+import java.util.random.RandomGenerator;
+import org.gullway.transport.Call;
+import org.gullway.transport.Client;
+import org.gullway.transport.Reply;
+
+/**
+ * A network that delays, holds messages back during cuts and delivers them afterwards, loses answers, and now and
+ * then delivers a request a second time.
+ */
+public final class SimulatedNetwork {
+    private record Host(SimulatedTime.Process process, Consumer<Call> handler) {
+    }
+
+    private final SimulatedTime time;
+    private final SimulatedTime.Process wires;
+    private final RandomGenerator random;
+    private final double trouble;
+    private final Map<String, Host> hosts = new HashMap<>();
+    /** Pairs "from>to" of groups that cannot reach each other; a group is an address or a client's name. */
+    private final Set<String> cuts = new HashSet<>();
+
+    /** @param trouble share of messages that are late, or repeated */
+    public SimulatedNetwork(SimulatedTime time, RandomGenerator random, double trouble) {
+        this.time = time;
+        this.wires = time.process();
+        this.random = random;
+        this.trouble = trouble;
+    }
+
+    public void listen(String address, SimulatedTime.Process process, Consumer<Call> handler) {
+        hosts.put(address, new Host(process, handler));
+    }
+
+    public void close(String address) {
+        hosts.remove(address);
+    }
+
+    public void cut(String from, String to) {
+        cuts.add(from + ">" + to);
+    }
+
+    public void heal() {
+        cuts.clear();
+    }
+
+    private boolean isCut(String from, String to) {
+        return cuts.contains(from + ">" + to) || cuts.contains(from + ">*") || cuts.contains("*>" + to);
+    }
+
+    public Client client(String from, SimulatedTime.Process process) {
+        return (address, request, callback) -> send(from, process, address, request, callback);
+    }
+
+    private void send(String from, SimulatedTime.Process process, String address, Reply.Request request,
+                      Consumer<Reply> callback) {
+        boolean[] finished = new boolean[1];
+        Consumer<Reply> finish = reply -> {
+            if (!finished[0]) {
+                finished[0] = true;
+                callback.accept(reply);
+            }
+        };
+        boolean keptConnection = random.nextDouble() < 0.7;
+        if (isCut(from, address) && !keptConnection) {
+            process.after(request.limit(), () -> finish.accept(Reply.notSent()));
+            return;
+        }
+        if (!hosts.containsKey(address)) {
+            process.after(latency(), () -> finish.accept(Reply.notSent()));
+            return;
+        }
+        process.after(request.limit(), () -> finish.accept(Reply.unknown()));
+        Duration delay = latency();
+        if (random.nextDouble() < trouble) {
+            delay = Duration.ofMillis(random.nextInt(9000));
+        }
+        deliver(from, process, address, request, finish, delay);
+        if (random.nextDouble() < trouble) {
+            deliver(from, process, address, request, reply -> { }, Duration.ofMillis(20 + random.nextInt(20_000)));
+        }
+    }
+
+    private Duration latency() {
+        return Duration.ofNanos(300_000 + random.nextInt(3_000_000));
+    }
+
+    private void deliver(String from, SimulatedTime.Process sender, String address, Reply.Request request,
+                         Consumer<Reply> finish, Duration delay) {
+        wires.after(delay, () -> {
+            if (isCut(from, address)) {
+                deliver(from, sender, address, request, finish, Duration.ofMillis(500));
+                return;
+            }
+            Host host = hosts.get(address);
+            if (host == null || host.process().killed()) {
+                sender.execute(() -> finish.accept(Reply.unknown()));
+                return;
+            }
+            int question = request.path().indexOf('?');
+            host.handler().accept(new Message(request.method(),
+                    question < 0 ? request.path() : request.path().substring(0, question),
+                    question < 0 ? "" : request.path().substring(question + 1), request.body(),
+                    reply -> answer(from, sender, address, finish, reply)));
+        });
+    }
+
+    private void answer(String from, SimulatedTime.Process sender, String address, Consumer<Reply> finish, Reply reply) {
+        wires.after(latency(), () -> {
+            // An answer held back by a cut comes after the sender has given up, which is the same as never.
+            if (!isCut(from, address) && !sender.killed()) {
+                finish.accept(reply);
+            }
+        });
+    }
+
+    /** One request on the simulated network. */
+    public record Message(String method, String path, String query, byte[] body, Consumer<Reply> reply) implements Call {
+        @Override
+        public void answer(int status, byte[] content) {
+            reply.accept(Reply.answered(status, content));
+        }
+
+        @Override
+        public void refuse(int status, Duration retryAfter) {
+            answer(status, new byte[0]);
+        }
+    }
+
+    public SimulatedTime time() {
+        return time;
+    }
+}
--- /dev/null
+++ b/src/test/java/org/gullway/standin/SimulatedTime.java
@@ -0,0 +1,72 @@
+package org.gullway.standin;
+
+import java.time.Duration;
+import java.time.Instant;
+import java.util.PriorityQueue;
+import org.gullway.transport.EventLoop;
+
+/** Virtual time: runs whatever is due, in order, and jumps to the next. */
+public final class SimulatedTime {
+    private record Due(Instant at, long order, Runnable task) implements Comparable<Due> {
+        @Override
+        public int compareTo(Due other) {
+            int byTime = at.compareTo(other.at);
+            return byTime != 0 ? byTime : Long.compare(order, other.order);
+        }
+    }
+
+    private final PriorityQueue<Due> queue = new PriorityQueue<>();
+    private Instant now = Instant.EPOCH;
+    private long order;
+
+    /** The loop of one process; after {@link #kill()} nothing of it runs any more. */
+    public final class Process implements EventLoop {
+        private boolean killed;
+
+        @Override
+        public Instant now() {
+            return now;
+        }
+
+        @Override
+        public void execute(Runnable task) {
+            after(Duration.ZERO, task);
+        }
+
+        @Override
+        public Runnable after(Duration delay, Runnable task) {
+            boolean[] cancelled = new boolean[1];
+            queue.add(new Due(now.plus(delay.isNegative() ? Duration.ZERO : delay), order++, () -> {
+                if (!killed && !cancelled[0]) {
+                    task.run();
+                }
+            }));
+            return () -> cancelled[0] = true;
+        }
+
+        public void kill() {
+            killed = true;
+        }
+
+        public boolean killed() {
+            return killed;
+        }
+    }
+
+    public Process process() {
+        return new Process();
+    }
+
+    public Instant now() {
+        return now;
+    }
+
+    public void runUntil(Instant end) {
+        while (!queue.isEmpty() && !queue.peek().at().isAfter(end)) {
+            Due due = queue.poll();
+            now = due.at();
+            due.task().run();
+        }
+        now = end;
+    }
+}
--- /dev/null
+++ b/src/test/java/org/gullway/standin/StandInCloud.java
@@ -0,0 +1,158 @@
+package org.gullway.standin;
+
+import com.fasterxml.jackson.databind.JsonNode;
+import com.fasterxml.jackson.databind.node.ArrayNode;
+import com.fasterxml.jackson.databind.node.ObjectNode;
+import java.time.Duration;
+import java.time.Instant;
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.TreeMap;
+import org.gullway.protocol.Cbor;
+import org.gullway.protocol.MalformedException;
+import org.gullway.protocol.MachineType;
+import org.gullway.transport.Call;
+import org.gullway.transport.EventLoop;
+
+/** The cloud as its protocol describes it: rents machines, whose workers come up after their boot time. */
+public final class StandInCloud {
+    /** Brings up the worker of a machine. */
+    @FunctionalInterface
+    public interface Boot {
+        StandInWorker start(String name, StandInWorker.Kind kind);
+    }
+
+    private static final class Machine {
+        private final StandInWorker.Kind kind;
+        private final Instant rented;
+        private StandInWorker worker;
+
+        Machine(StandInWorker.Kind kind, Instant rented) {
+            this.kind = kind;
+            this.rented = rented;
+        }
+    }
+
+    private final EventLoop loop;
+    private final List<MachineType> types;
+    private final int capacity;
+    private final Boot boot;
+    private final TreeMap<String, Machine> machines = new TreeMap<>();
+    private final Map<String, List<String>> charters = new HashMap<>();
+    private int names;
+
+    /** @param capacity machines of each type, zone and kind */
+    public StandInCloud(EventLoop loop, List<MachineType> types, int capacity, Boot boot) {
+        this.loop = loop;
+        this.types = types;
+        this.capacity = capacity;
+        this.boot = boot;
+    }
+
+    public List<StandInWorker> workers() {
+        return machines.values().stream().map(m -> m.worker).filter(w -> w != null && w.alive()).toList();
+    }
+
+    public int rented() {
+        return machines.size();
+    }
+
+    /** The cloud takes a spot machine back. */
+    public void take(StandInWorker worker) {
+        worker.die();
+        machines.remove(worker.name());
+    }
+
+    public void handle(Call call) {
+        try {
+            switch (call.path()) {
+                case "/flavors" -> flavors(call);
+                case "/rentals" -> {
+                    if (call.method().equals("POST")) {
+                        rent(call, Cbor.decode(call.body()));
+                    } else {
+                        list(call);
+                    }
+                }
+                case "/rentals/return" -> giveBack(call, Cbor.decode(call.body()));
+                default -> call.answer(404, new byte[0]);
+            }
+        } catch (MalformedException e) {
+            call.answer(400, new byte[0]);
+        }
+    }
+
+    private void flavors(Call call) {
+        ObjectNode node = Cbor.map();
+        ArrayNode list = node.putArray("breeds");
+        for (MachineType type : types) {
+            ObjectNode item = list.addObject().put("name", type.name()).put("cpus", type.cpus())
+                    .put("cards", type.cards()).put("mem_gb", type.memoryGb()).put("local_gb", type.cacheGb())
+                    .put("pull_gb_per_s", type.fetchGbPerSecond()).put("price", type.price())
+                    .put("low_price", type.spotPrice()).put("startup_s", type.boot().toMillis() / 1000.0);
+            ArrayNode zones = item.putArray("shores");
+            type.zones().forEach(zones::add);
+        }
+        call.answer(200, Cbor.encode(node));
+    }
+
+    private void rent(Call call, JsonNode body) {
+        String charter = body.path("charter").asText();
+        List<String> names = charters.get(charter);
+        if (names == null) {
+            MachineType type = types.stream().filter(t -> t.name().equals(body.path("breed").asText())).findFirst()
+                    .orElseThrow();
+            StandInWorker.Kind kind = new StandInWorker.Kind(type.name(), body.path("shore").asText(),
+                    body.path("driftwood").asBoolean(), type.cpus());
+            long there = machines.values().stream().filter(m -> m.kind.equals(kind)).count();
+            names = new ArrayList<>();
+            for (int i = 0; i < body.path("count").asInt() && there + i < capacity; i++) {
+                String name = String.format("vm-%06d", names());
+                names.add(name);
+                Machine machine = new Machine(kind, loop.now());
+                machines.put(name, machine);
+                loop.after(type.boot(), () -> {
+                    if (machines.get(name) == machine) {
+                        machine.worker = boot.start(name, kind);
+                    }
+                });
+            }
+            if (names.isEmpty()) {
+                call.answer(503, Cbor.encode(Cbor.map().put("error", "no capacity")));
+                return;
+            }
+            charters.put(charter, names);
+        }
+        ObjectNode node = Cbor.map();
+        ArrayNode list = node.putArray("perches");
+        names.forEach(list::add);
+        call.answer(200, Cbor.encode(node));
+    }
+
+    private int names() {
+        return names++;
+    }
+
+    private void giveBack(Call call, JsonNode body) {
+        for (JsonNode name : body.path("perches")) {
+            Machine machine = machines.remove(name.asText());
+            if (machine != null && machine.worker != null) {
+                machine.worker.die();
+            }
+        }
+        call.answer(200, Cbor.encode(Cbor.map()));
+    }
+
+    private void list(Call call) {
+        ObjectNode node = Cbor.map().put("more", false);
+        ArrayNode list = node.putArray("perches");
+        machines.forEach((name, machine) -> list.addObject().put("name_id", name).put("endpoint", "10.1.0.1:9000")
+                .put("breed", machine.kind.type()).put("shore", machine.kind.zone())
+                .put("driftwood", machine.kind.spot())
+                .put("tide", machine.worker == null ? "booting" : machine.worker.alive() ? "running" : "failed")
+                .put("held_s", Duration.between(machine.rented, loop.now()).toMillis() / 1000.0));
+        call.answer(200, Cbor.encode(node));
+    }
+}
--- /dev/null
+++ b/src/test/java/org/gullway/standin/StandInWorker.java
@@ -0,0 +1,323 @@
+package org.gullway.standin;
+
+import com.fasterxml.jackson.databind.JsonNode;
+import com.fasterxml.jackson.databind.node.ArrayNode;
+import com.fasterxml.jackson.databind.node.ObjectNode;
+import java.time.Duration;
+import java.time.Instant;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.random.RandomGenerator;
+import org.gullway.protocol.Cbor;
+import org.gullway.protocol.JobRequest;
+import org.gullway.protocol.MalformedException;
+import org.gullway.transport.Call;
+import org.gullway.transport.Client;
+import org.gullway.transport.EventLoop;
+import org.gullway.transport.Reply;
+
+/** A worker as its protocol describes it; its tasks only let time pass. */
+public final class StandInWorker {
+    /** What the world around tells a worker and wants to know from it. */
+    public interface World {
+        /** The description that users have uploaded, or null. */
+        JobRequest describe(String job);
+
+        /** How long a task of the job really runs. */
+        Duration runTime(String job);
+
+        /** The outcome of a task that ran its time. */
+        boolean fails(String machine, String job);
+
+        boolean completed(String task);
+
+        void began(String machine, String task);
+
+        void ended(String machine, String task, boolean done);
+    }
+
+    /** What a machine is, apart from its name. */
+    public record Kind(String type, String zone, boolean spot, double cpus) {
+    }
+
+    private static final class Task {
+        private final String id;
+        private final long attempt;
+        private String state = "running";
+        private String cause;
+        private Runnable timer = () -> { };
+
+        Task(String id, long attempt) {
+            this.id = id;
+            this.attempt = attempt;
+        }
+
+        String job() {
+            return id.substring(0, id.indexOf('/'));
+        }
+    }
+
+    private final EventLoop loop;
+    private final Client client;
+    private final World world;
+    private final RandomGenerator random;
+    private final String name;
+    private final String address;
+    private final Kind kind;
+    private final List<String> controllers;
+    private final Map<String, String> controllerAddresses;
+    private final Duration interval;
+    private final Duration lease;
+    private final Map<String, Task> tasks = new LinkedHashMap<>();
+    private int controller;
+    private long session = 1;
+    private long sequence;
+    private long token;
+    private Instant renewed;
+    private Instant lastReport = Instant.MIN;
+    private boolean reporting;
+    private boolean alive = true;
+    private Runnable nextReport = () -> { };
+
+    public StandInWorker(EventLoop loop, Client client, World world, RandomGenerator random, String name,
+                         String address, Kind kind, Map<String, String> controllerAddresses, Duration interval,
+                         Duration lease) {
+        this.loop = loop;
+        this.client = client;
+        this.world = world;
+        this.random = random;
+        this.name = name;
+        this.address = address;
+        this.kind = kind;
+        this.controllerAddresses = controllerAddresses;
+        this.controllers = List.copyOf(controllerAddresses.keySet());
+        this.controller = random.nextInt(controllers.size());
+        this.interval = interval;
+        this.lease = lease;
+        this.renewed = loop.now();
+        reportIn(Duration.ZERO);
+        checkLease();
+    }
+
+    public String name() {
+        return name;
+    }
+
+    public String address() {
+        return address;
+    }
+
+    public Kind kind() {
+        return kind;
+    }
+
+    public boolean alive() {
+        return alive;
+    }
+
+    /** The machine is gone, with all that is on it. */
+    public void die() {
+        if (alive) {
+            alive = false;
+            killAll();
+        }
+    }
+
+    private void killAll() {
+        for (Task task : tasks.values()) {
+            if (!task.state.equals("ended")) {
+                task.timer.run();
+                world.ended(name, task.id, false);
+            }
+        }
+        tasks.clear();
+    }
+
+    private void checkLease() {
+        if (!alive) {
+            return;
+        }
+        if (renewed.plus(lease).isBefore(loop.now())) {
+            killAll();
+            session++;
+            renewed = loop.now();
+            changed();
+        }
+        loop.after(Duration.ofMillis(200), this::checkLease);
+    }
+
+    private void changed() {
+        if (!reporting) {
+            Duration since = lastReport.equals(Instant.MIN) ? interval : Duration.between(lastReport, loop.now());
+            Duration wait = Duration.ofMillis(500).minus(since);
+            reportIn(wait.isNegative() ? Duration.ZERO : wait);
+        }
+    }
+
+    private void reportIn(Duration delay) {
+        nextReport.run();
+        nextReport = loop.after(delay, this::report);
+    }
+
+    private void report() {
+        if (!alive || reporting) {
+            return;
+        }
+        reporting = true;
+        lastReport = loop.now();
+        Instant sent = loop.now();
+        long inSession = session;
+        String to = controllers.get(controller);
+        client.call(controllerAddresses.get(to), Reply.Request.post("/agent/beat", Cbor.encode(account()),
+                Duration.ofSeconds(4)), reply -> {
+            reporting = false;
+            if (!alive) {
+                return;
+            }
+            if (reply.kind() == Reply.Kind.ANSWERED && reply.status() == 200) {
+                accept(reply.body(), sent, inSession);
+                reportIn(Duration.ofMillis((long) (interval.toMillis() * (0.75 + random.nextDouble() / 2))));
+            } else {
+                String next = reply.status() == 421 ? redirect(reply.body()) : null;
+                if (next != null && !next.equals(to) && controllers.contains(next)) {
+                    controller = controllers.indexOf(next);
+                    reportIn(Duration.ofMillis(random.nextInt(500)));
+                } else {
+                    controller = (controller + 1) % controllers.size();
+                    reportIn(Duration.ofSeconds(1));
+                }
+            }
+        });
+    }
+
+    private static String redirect(byte[] body) {
+        try {
+            return Cbor.decode(body).path("roost").asText(null);
+        } catch (MalformedException e) {
+            return null;
+        }
+    }
+
+    private void accept(byte[] body, Instant sent, long inSession) {
+        try {
+            ObjectNode node = Cbor.decode(body);
+            if (inSession != session || !node.has("baton") || node.path("baton").asLong() < token) {
+                return;
+            }
+            token = node.path("baton").asLong();
+            renewed = sent;
+            execute(node.path("calls"));
+        } catch (MalformedException e) {
+            throw new IllegalStateException(e);
+        }
+    }
+
+    /** Answers a direct command. */
+    public void handle(Call call) {
+        if (!alive) {
+            return;
+        }
+        try {
+            ObjectNode node = Cbor.decode(call.body());
+            if (!node.has("baton") || !node.has("flight")) {
+                call.answer(400, new byte[0]);
+            } else if (node.path("baton").asLong() < token || node.path("flight").asLong() != session) {
+                call.answer(409, Cbor.encode(account()));
+            } else {
+                token = node.path("baton").asLong();
+                execute(node.path("calls"));
+                call.answer(200, Cbor.encode(account()));
+            }
+        } catch (MalformedException e) {
+            call.answer(400, new byte[0]);
+        }
+    }
+
+    private ObjectNode account() {
+        ObjectNode node = Cbor.map().put("perch", name).put("endpoint", address).put("breed", kind.type())
+                .put("shore", kind.zone()).put("driftwood", kind.spot()).put("flight", session)
+                .put("tally", ++sequence).put("baton", token).putNull("warning_s");
+        ArrayNode legs = node.putArray("legs");
+        for (Task task : tasks.values()) {
+            ObjectNode leg = legs.addObject().put("leg", task.id).put("launch", task.attempt).put("tide", task.state);
+            if (task.cause != null) {
+                leg.put("cause", task.cause);
+            }
+        }
+        return node;
+    }
+
+    private void execute(JsonNode commands) {
+        for (JsonNode command : commands) {
+            String id = command.path("leg").asText();
+            long attempt = command.path("launch").asLong();
+            String key = id + "#" + attempt;
+            Task task = tasks.get(key);
+            switch (command.path("call").asText()) {
+                case "start" -> {
+                    if (task == null) {
+                        start(key, new Task(id, attempt));
+                    }
+                }
+                case "halt" -> {
+                    if (task != null && !task.state.equals("ended")) {
+                        end(task, "halted");
+                    }
+                }
+                case "forget" -> {
+                    if (task != null && task.state.equals("ended")) {
+                        tasks.remove(key);
+                    }
+                }
+                default -> throw new IllegalStateException("unknown command " + command);
+            }
+        }
+        if (!commands.isEmpty()) {
+            changed();
+        }
+    }
+
+    private void start(String key, Task task) {
+        tasks.put(key, task);
+        JobRequest job = world.describe(task.job());
+        if (job == null) {
+            refuse(task, "no_such");
+            return;
+        }
+        double used = 0;
+        for (Task other : tasks.values()) {
+            if (other != task && !other.state.equals("ended")) {
+                if (other.id.equals(task.id)) {
+                    refuse(task, "busy");
+                    return;
+                }
+                used += world.describe(other.job()).cpus();
+            }
+        }
+        if (used + job.cpus() > kind.cpus() + 1e-6) {
+            refuse(task, "full");
+            return;
+        }
+        world.began(name, task.id);
+        Duration time = world.completed(task.id) ? Duration.ofMillis(1) : world.runTime(task.job());
+        task.timer = loop.after(time, () -> {
+            if (alive && !task.state.equals("ended")) {
+                end(task, world.fails(name, task.job()) ? "error" : "done");
+            }
+        });
+    }
+
+    private static void refuse(Task task, String why) {
+        task.state = "ended";
+        task.cause = why;
+    }
+
+    private void end(Task task, String cause) {
+        task.timer.run();
+        task.state = "ended";
+        task.cause = cause;
+        world.ended(name, task.id, cause.equals("done"));
+        changed();
+    }
+}
