--- a/src/main/java/org/gullway/UserApi.java
+++ b/src/main/java/org/gullway/UserApi.java
@@ -27,12 +27,15 @@
 import org.gullway.transport.EventLoop;
 import org.gullway.transport.Call;
 import org.gullway.transport.Reply;
+import org.slf4j.Logger;
+import org.slf4j.LoggerFactory;
 
 /**
  * Users' submissions, questions and cancellations. Nothing is told that is not on record, and no state that is not
  * final is told before the store has confirmed that it is still the newest.
  */
 final class UserApi {
+    private static final Logger LOG = LoggerFactory.getLogger(UserApi.class);
     private static final Duration RETRY_AFTER = Duration.ofSeconds(1);
     private static final Duration PATIENCE = Duration.ofSeconds(2);
     private static final int MOST_PENDING = 500;
@@ -189,6 +192,8 @@
             if (key.startsWith(Keys.JOBS)) {
                 Submission submission = submissions.remove(key.substring(Keys.JOBS.length()));
                 if (submission != null && value instanceof JobRecord job) {
+                    LOG.debug("{} of {} accepted after {}", job.request().id(), job.request().jobClass(),
+                            Duration.between(submission.came(), loop.now()));
                     metrics.accepted(Duration.between(submission.came(), loop.now()));
                     byte[] body = Cbor.encode(Cbor.map().put("name_id", job.request().id())
                             .put("tide", job.state().wire()));
--- a/src/main/java/org/gullway/coordination/Draft.java
+++ b/src/main/java/org/gullway/coordination/Draft.java
@@ -8,6 +8,8 @@
 import org.gullway.coordination.ClusterView.Room;
 import org.gullway.protocol.JobRequest;
 import org.gullway.protocol.JobState;
+import org.slf4j.Logger;
+import org.slf4j.LoggerFactory;
 
 /**
  * One commit in the making. Every key that it changes or relies on is guarded by the mark under which this
@@ -32,6 +34,7 @@
         }
     }
 
+    private static final Logger LOG = LoggerFactory.getLogger(Draft.class);
     private static final int OTHER_BYTES = 300;
 
     private final ClusterView view;
@@ -171,6 +174,8 @@
     /** Places one task; the machine's session, the team's use and the job are all guarded. */
     public void place(JobRecord job, int task, MachineRecord machine) {
         JobRequest request = job.request();
+        LOG.debug("{}/{}#{} of {} goes to {} (image {})", request.id(), task, job.attempts() + 1, request.jobClass(),
+                machine.name(), view.hasImage(machine.name(), request.image()));
         putJob(job.placed(task, machine.name(), machine.session()));
         rely(Keys.machine(machine.name()));
         put(Keys.team(request.team()), new TeamTurn(self));
--- a/src/main/java/org/gullway/coordination/Worker.java
+++ b/src/main/java/org/gullway/coordination/Worker.java
@@ -8,9 +8,13 @@
 import java.util.Set;
 import org.gullway.protocol.TaskReport;
 import org.gullway.protocol.WorkerReport;
+import org.slf4j.Logger;
+import org.slf4j.LoggerFactory;
 
 /** What this controller knows of a worker that reports to it: the newest of the worker's messages, and what is open. */
 final class Worker {
+    private static final Logger LOG = LoggerFactory.getLogger(Worker.class);
+
     private WorkerReport newest;
     private Map<AttemptId, TaskReport> tasks = Map.of();
     /** For attempts that ended without completing: the worker's token when that was first seen. */
@@ -40,6 +44,12 @@
         for (TaskReport task : report.tasks()) {
             AttemptId id = new AttemptId(task.task(), task.attempt());
             next.put(id, task);
+            if (LOG.isDebugEnabled()) {
+                TaskReport before = tasks.get(id);
+                if (before == null || before.phase() != task.phase()) {
+                    LOG.debug("{}#{} is {} {} on {}", task.task(), task.attempt(), task.phase(), task.cause(), report.machine());
+                }
+            }
             if (task.ended() && task.cause() != TaskReport.Cause.DONE) {
                 endedAtToken.putIfAbsent(id, report.token());
             }
