--- a/src/main/java/org/gullway/coordination/ReservedBooking.java
+++ b/src/main/java/org/gullway/coordination/ReservedBooking.java
@@ -119,7 +119,9 @@
             }
             double free = placing.freeCpus(machine, draft);
             boolean image = view.hasImage(machine.name(), job.request().image());
-            if (best == null || free < bestFree || free == bestFree && image && !bestImage) {
+            // Exception to the fullest fit (dong-xanh steady): a machine without the image starts seconds later, so
+            // it fits less well than any that has it.
+            if (best == null || image && !bestImage || image == bestImage && free < bestFree) {
                 best = machine;
                 bestFree = free;
                 bestImage = image;
--- a/src/test/java/org/gullway/coordination/ReservedBookingTest.java
+++ b/src/test/java/org/gullway/coordination/ReservedBookingTest.java
@@ -29,6 +29,18 @@
         assertThat(draft.guards()).contains(Keys.machine("vm-2"), Keys.team("red"), Keys.member("perch-0"));
     }
 
+    @Test
+    void prefersAMachineThatHasTheImage() {
+        view.put(Keys.machine("vm-1"), Samples.machine("vm-1", "large", Samples.SELF), 10);
+        view.put(Keys.machine("vm-2"), Samples.machine("vm-2", "small", Samples.PEER), 11);
+        JobRecord first = JobRecord.accepted(Samples.request("run-000009", "red", Rank.HIGH, 2, 4), null, Samples.DAY);
+        view.put(Keys.job("run-000009"), first.placed(0, "vm-1", 1), 12);
+        accept("run-000001", "red", Rank.HIGH, 1, 4, 13);
+        Draft draft = draft();
+        booking.propose(draft, Instant.EPOCH);
+        assertThat(draft.job("run-000001").live()).extracting(Placement::machine).containsExactly("vm-1");
+    }
+
     @Test
     void staysWithinTheTeamsLimit() {
         view.put(Keys.machine("vm-1"), Samples.machine("vm-1", "large", Samples.SELF), 10);
