--- a/src/main/java/org/gullway/coordination/BestEffortQueue.java
+++ b/src/main/java/org/gullway/coordination/BestEffortQueue.java
@@ -3,8 +3,11 @@
 import java.time.Duration;
 import java.time.Instant;
 import java.util.ArrayList;
+import java.util.Collection;
 import java.util.Comparator;
 import java.util.HashMap;
+import java.util.Iterator;
+import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
 import java.util.random.RandomGenerator;
@@ -66,27 +69,33 @@
         mine.sort(Comparator.<JobRecord, org.gullway.protocol.Rank>comparing(j -> j.request().rank())
                 .thenComparing(BestEffortQueue::due)
                 .thenComparing(j -> j.request().id()));
-        List<Outgoing> outgoing = new ArrayList<>();
+        Map<MachineRecord, Offer> room = new LinkedHashMap<>();
         for (MachineRecord machine : own) {
-            fill(draft, machine, mine);
-            if (othersWait && placing.freeCpus(machine, draft) >= 1 && !view.closed().contains(machine.name())) {
-                passOn(new Offer(machine.name(), machine.session(), List.of(self)), now, outgoing);
-            }
+            room.put(machine, new Offer(machine.name(), machine.session(), List.of()));
         }
-        List<Foreign> room = new ArrayList<>(foreign.values());
-        foreign.clear();
-        for (Foreign each : room) {
+        for (Foreign each : foreign.values()) {
             MachineRecord machine = view.machine(each.offer().machine());
-            if (machine == null || !machine.takesTasks() || machine.session() != each.offer().session()
-                    || !now.isBefore(each.until())) {
-                continue;
-            }
-            if (!fill(draft, machine, mine) && othersWait) {
-                List<String> asked = new ArrayList<>(each.offer().askedAlready());
-                asked.add(self);
-                passOn(new Offer(machine.name(), machine.session(), asked), now, outgoing);
+            if (machine != null && machine.takesTasks() && machine.session() == each.offer().session()
+                    && now.isBefore(each.until())) {
+                room.put(machine, each.offer());
             }
         }
+        foreign.clear();
+        room.keySet().removeIf(machine -> view.closed().contains(machine.name()));
+        // A team within its guarantee need not wait for others: its jobs have their turns first.
+        Guarantees guarantees = Guarantees.of(view, placing);
+        fill(draft, room.keySet(), mine.stream().filter(guarantees::holdFor).toList());
+        fill(draft, room.keySet(), mine.stream().filter(job -> !guarantees.holdFor(job)).toList());
+        List<Outgoing> outgoing = new ArrayList<>();
+        if (othersWait) {
+            room.forEach((machine, offer) -> {
+                if (placing.freeCpus(machine, draft) >= 1) {
+                    List<String> asked = new ArrayList<>(offer.askedAlready());
+                    asked.add(self);
+                    passOn(new Offer(machine.name(), machine.session(), asked), now, outgoing);
+                }
+            });
+        }
         return outgoing;
     }
 
@@ -95,42 +104,36 @@
         return deadline == null ? job.submitted().plus(Duration.ofMinutes(5)) : job.submitted().plus(deadline);
     }
 
-    /** Starts tasks in equal turns of the teams until nothing more fits; true if any did. */
-    private boolean fill(Draft draft, MachineRecord machine, List<JobRecord> mine) {
-        if (view.closed().contains(machine.name())) {
-            return false;
-        }
-        boolean any = false;
+    /** Starts tasks in equal turns of the teams until nothing more fits. */
+    private void fill(Draft draft, Collection<MachineRecord> room, List<JobRecord> mine) {
+        List<JobRecord> left = new ArrayList<>(mine);
         while (true) {
-            JobRecord job = nextInTurn(draft, machine, mine);
-            if (job == null) {
-                return any;
-            }
-            draft.place(job, job.nextWaiting(), machine);
-            turns.remove(job.request().team());
-            turns.add(job.request().team());
-            any = true;
-        }
-    }
-
-    /** The first fitting job of the team whose last turn was longest ago. */
-    private JobRecord nextInTurn(Draft draft, MachineRecord machine, List<JobRecord> mine) {
-        JobRecord best = null;
-        int bestTurn = Integer.MAX_VALUE;
-        for (JobRecord known : mine) {
-            int turn = turns.indexOf(known.request().team());
-            if (turn >= bestTurn) {
-                continue;
+            JobRecord next = null;
+            int nextTurn = Integer.MAX_VALUE;
+            MachineRecord machine = null;
+            for (Iterator<JobRecord> it = left.iterator(); it.hasNext();) {
+                JobRecord job = draft.job(it.next().request().id());
+                int turn = job == null ? 0 : turns.indexOf(job.request().team());
+                if (turn >= nextTurn) {
+                    continue;
+                }
+                MachineRecord best = job == null || job.waiting() == 0 || !placing.withinLimit(job.request(), draft)
+                        || !draft.canPlace(job) ? null : placing.best(job, room, draft, view);
+                if (best == null) {
+                    it.remove();
+                } else {
+                    next = job;
+                    nextTurn = turn;
+                    machine = best;
+                }
             }
-            JobRecord job = draft.job(known.request().id());
-            if (job != null && job.waiting() > 0 && placing.hasRoom(job.request(), machine, draft)
-                    && placing.allowed(job, machine, view) && placing.withinLimit(job.request(), draft)
-                    && draft.canPlace(job)) {
-                best = job;
-                bestTurn = turn;
+            if (next == null) {
+                return;
             }
+            draft.place(next, next.nextWaiting(), machine);
+            turns.remove(next.request().team());
+            turns.add(next.request().team());
         }
-        return best;
     }
 
     private void passOn(Offer offer, Instant now, List<Outgoing> outgoing) {
--- a/src/main/java/org/gullway/coordination/Placing.java
+++ b/src/main/java/org/gullway/coordination/Placing.java
@@ -1,5 +1,6 @@
 package org.gullway.coordination;
 
+import java.util.Collection;
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
@@ -84,4 +85,27 @@
         }
         return !request.spread() || here + 1 <= (request.tasks() + 1) / 2;
     }
+
+    /**
+     * The fullest of these machines that fits, or null. Exception to the fullest fit (dong-xanh steady): a machine
+     * without the image starts the task seconds later, so it fits less well than any that has it.
+     */
+    public MachineRecord best(JobRecord job, Collection<MachineRecord> machines, Draft draft, ClusterView view) {
+        MachineRecord best = null;
+        double bestFree = 0;
+        boolean bestImage = false;
+        for (MachineRecord machine : machines) {
+            if (!hasRoom(job.request(), machine, draft) || !allowed(job, machine, view)) {
+                continue;
+            }
+            double free = freeCpus(machine, draft);
+            boolean image = view.hasImage(machine.name(), job.request().image());
+            if (best == null || image && !bestImage || image == bestImage && free < bestFree) {
+                best = machine;
+                bestFree = free;
+                bestImage = image;
+            }
+        }
+        return best;
+    }
 }
--- a/src/main/java/org/gullway/coordination/ReservedBooking.java
+++ b/src/main/java/org/gullway/coordination/ReservedBooking.java
@@ -3,14 +3,12 @@
 import java.time.Instant;
 import java.util.ArrayList;
 import java.util.Comparator;
-import java.util.HashMap;
 import java.util.LinkedHashSet;
 import java.util.List;
-import java.util.Map;
 import java.util.Set;
 import org.gullway.protocol.JobRequest;
 import org.gullway.protocol.MachineType;
-import org.gullway.protocol.Settings;
+import org.gullway.protocol.Rank;
 
 /**
  * The leader's booking of reserved-class tasks: each on the fullest machine that fits. While some wait, machines are
@@ -38,7 +36,7 @@
             close(draft, Set.of());
             return;
         }
-        waiting.sort(order(waiting));
+        waiting.sort(order());
         List<MachineRecord> machines = new ArrayList<>();
         for (MachineRecord machine : view.machines()) {
             if (machine.takesTasks() && view.isLive(machine.controller())) {
@@ -57,15 +55,10 @@
     }
 
     /** By rank, then jobs within their team's guarantee, then by age. */
-    private Comparator<JobRecord> order(List<JobRecord> jobs) {
-        Map<String, Boolean> guaranteed = new HashMap<>();
-        for (JobRecord job : jobs) {
-            Settings.Team team = placing.team(job.request().team());
-            guaranteed.put(job.request().id(), team != null
-                    && view.usedBy(team.name()).cpus + job.request().cpus() <= team.cpus());
-        }
-        return Comparator.<JobRecord, org.gullway.protocol.Rank>comparing(j -> j.request().rank())
-                .thenComparing(j -> guaranteed.get(j.request().id()) ? 0 : 1)
+    private Comparator<JobRecord> order() {
+        Guarantees guarantees = Guarantees.of(view, placing);
+        return Comparator.<JobRecord, Rank>comparing(j -> j.request().rank())
+                .thenComparing(j -> guarantees.holdFor(j) ? 0 : 1)
                 .thenComparing(JobRecord::submitted)
                 .thenComparing(j -> j.request().id());
     }
@@ -80,7 +73,7 @@
             if (!placing.withinLimit(job.request(), draft) || !draft.canPlace(job)) {
                 return true;
             }
-            MachineRecord machine = fullest(draft, job, machines);
+            MachineRecord machine = placing.best(job, machines, draft, view);
             if (machine == null) {
                 return false;
             }
@@ -99,7 +92,7 @@
         JobRecord job = gang;
         while (job.waiting() > 0) {
             MachineRecord machine = placing.withinLimit(job.request(), trial) && trial.canPlace(job)
-                    ? fullest(trial, job, machines) : null;
+                    ? placing.best(job, machines, trial, view) : null;
             if (machine == null) {
                 return false;
             }
@@ -109,27 +102,6 @@
         return true;
     }
 
-    private MachineRecord fullest(Draft draft, JobRecord job, List<MachineRecord> machines) {
-        MachineRecord best = null;
-        double bestFree = 0;
-        boolean bestImage = false;
-        for (MachineRecord machine : machines) {
-            if (!placing.hasRoom(job.request(), machine, draft) || !placing.allowed(job, machine, view)) {
-                continue;
-            }
-            double free = placing.freeCpus(machine, draft);
-            boolean image = view.hasImage(machine.name(), job.request().image());
-            // Exception to the fullest fit (dong-xanh steady): a machine without the image starts seconds later, so
-            // it fits less well than any that has it.
-            if (best == null || image && !bestImage || image == bestImage && free < bestFree) {
-                best = machine;
-                bestFree = free;
-                bestImage = image;
-            }
-        }
-        return best;
-    }
-
     /** The machines with most room that best-effort work could leave, enough for all that waits. */
     private Set<String> machinesToClose(Draft draft, List<JobRecord> unfitted, List<MachineRecord> machines) {
         Set<String> chosen = new LinkedHashSet<>();
--- a/src/test/java/org/gullway/Rehearsal.java
+++ b/src/test/java/org/gullway/Rehearsal.java
@@ -1,8 +1,6 @@
 package org.gullway;
 
 import io.undertow.server.DefaultByteBufferPool;
-import java.io.IOException;
-import java.net.ServerSocket;
 import java.nio.file.Files;
 import java.nio.file.Path;
 import java.time.Duration;
@@ -11,6 +9,7 @@
 import java.util.Map;
 import java.util.SplittableRandom;
 import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.ThreadLocalRandom;
 import java.util.concurrent.TimeUnit;
 import org.gullway.protocol.Cbor;
 import org.gullway.protocol.JobRequest;
@@ -71,7 +70,7 @@
             StandInStore store = new StandInStore(loop);
             StandInCloud cloud = new StandInCloud(loop, List.of(new MachineType("small", 16, 0, 64, 50, 1, 1, 0.3,
                     Duration.ofMillis(300), List.of("a"))), 2, (name, kind) -> {
-                String address = unchecked(Rehearsal::freeAddress);
+                String address = freeAddress();
                 StandInWorker machine = new StandInWorker(loop, client, world, new SplittableRandom(1), name, address,
                         kind, Map.of("perch-0", node), Duration.ofMillis(500), Duration.ofSeconds(20));
                 HttpServer.start(worker, buffers, address, 65536, machine::handle);
@@ -127,10 +126,10 @@
                 false, false, true, Duration.ofSeconds(1), Duration.ZERO, Duration.ZERO, Duration.ofMinutes(1));
     }
 
-    private static String freeAddress() throws IOException {
-        try (ServerSocket socket = new ServerSocket(0)) {
-            return "127.0.0.1:" + socket.getLocalPort();
-        }
+    /** An address of its own in the loopback range, which no outgoing connection can have taken as its port. */
+    private static String freeAddress() {
+        ThreadLocalRandom random = ThreadLocalRandom.current();
+        return "127." + random.nextInt(1, 255) + "." + random.nextInt(255) + "." + random.nextInt(1, 255) + ":18080";
     }
 
     private interface Failing<T> {
@@ -145,7 +144,7 @@
         }
     }
 
-    private static String settings(String node, String state, String cloud) throws IOException {
+    private static String settings(String node, String state, String cloud) {
         return """
                 node_name = "perch-0"
                 site = "a"
