--- a/src/main/java/org/gullway/coordination/FleetPlan.java
+++ b/src/main/java/org/gullway/coordination/FleetPlan.java
@@ -5,10 +5,12 @@
 import java.util.ArrayList;
 import java.util.Comparator;
 import java.util.HashMap;
+import java.util.HashSet;
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
+import java.util.Set;
 import org.gullway.coordination.MachineRecord.Fate;
 import org.gullway.protocol.CloudMessages;
 import org.gullway.protocol.JobRequest;
@@ -22,6 +24,7 @@
  */
 public final class FleetPlan {
     private static final int MOST_TASKS_LAID_OUT = 400;
+    private static final Duration BURST_HALF_LIFE = Duration.ofMinutes(5);
     private static final Duration NO_CAPACITY_PAUSE = Duration.ofSeconds(10);
 
     /** What can be set about the size of the fleet. */
@@ -69,6 +72,11 @@
     private final Policy policy;
     private final Map<Offering, Instant> exhausted = new HashMap<>();
     private final Map<String, Instant> idleSince = new HashMap<>();
+    /** Urgent jobs that were counted for the size of a burst already. */
+    private final Set<String> counted = new HashSet<>();
+    /** Processors of a large urgent job of late: it may come again at any moment, all at once. */
+    private double burst;
+    private Instant burstAt = Instant.MIN;
 
     public FleetPlan(ClusterView view, Placing placing, Policy policy) {
         this.view = view;
@@ -109,6 +117,23 @@
         return list;
     }
 
+    /** Room to be kept free for urgent work: a share of what it uses, and at least a large job's. */
+    private double spareWanted(double urgentUse, Instant now) {
+        if (burstAt.equals(Instant.MIN)) {
+            burstAt = now;
+        }
+        double halves = Duration.between(burstAt, now).toMillis() / (double) BURST_HALF_LIFE.toMillis();
+        burst *= Math.pow(0.5, halves);
+        burstAt = now;
+        for (JobRecord job : view.jobs()) {
+            if (job.reserved() && counted.add(job.request().id())) {
+                burst = Math.max(burst, job.request().tasks() * job.request().cpus());
+            }
+        }
+        counted.removeIf(id -> view.job(id) == null);
+        return Math.max(policy.spareShare() * urgentUse, burst);
+    }
+
     /** What to rent now. */
     public List<Rental> rentals(Instant now) {
         List<Slot> slots = new ArrayList<>();
@@ -142,7 +167,7 @@
             }
         }
         if (sample != null) {
-            double spare = policy.spareShare() * Math.max(reservedUse, 0);
+            double spare = spareWanted(reservedUse, now);
             for (double laid = 0; laid < spare && laidOut < MOST_TASKS_LAID_OUT; laid += sample.cpus()) {
                 if (!layOut(sample, slots, rented, offerings)) {
                     break;
@@ -209,7 +234,8 @@
         for (MachineRecord machine : view.machines()) {
             spare += machine.takesTasks() ? placing.freeCpus(machine, draft) : 0;
         }
-        for (MachineRecord machine : view.machines()) {
+        double wanted = spareWanted(reservedUse, now);
+        for (MachineRecord machine : dearestFirst()) {
             MachineType type = placing.types().get(machine.type());
             if (type == null || machine.fate() != Fate.STAYS || !draft.hasRoomFor(1)) {
                 continue;
@@ -224,7 +250,7 @@
                 continue;
             }
             Instant since = idleSince.computeIfAbsent(machine.name(), m -> now);
-            boolean needed = waiting || spare - type.cpus() < policy.spareShare() * reservedUse;
+            boolean needed = waiting || spare - type.cpus() < wanted;
             if (!needed && since.plus(policy.idleReturn()).isBefore(now)) {
                 draft.put(Keys.machine(machine.name()), machine.meant(Fate.LEAVING));
                 spare -= type.cpus();
@@ -232,6 +258,14 @@
         }
     }
 
+    private List<MachineRecord> dearestFirst() {
+        List<MachineRecord> machines = new ArrayList<>(view.machines());
+        machines.removeIf(machine -> !placing.types().containsKey(machine.type()));
+        machines.sort(Comparator.comparingDouble(machine -> -new Offering(placing.types().get(machine.type()),
+                machine.zone(), machine.spot()).pricePerCpu()));
+        return machines;
+    }
+
     /** Machines to give back to the cloud now. */
     public List<String> returns() {
         List<String> names = new ArrayList<>();
