--- a/src/main/java/org/gullway/Controller.java
+++ b/src/main/java/org/gullway/Controller.java
@@ -20,6 +20,7 @@
 import org.gullway.coordination.Placing;
 import org.gullway.coordination.Repair;
 import org.gullway.coordination.ReservedBooking;
+import org.gullway.coordination.Urgency;
 import org.gullway.protocol.Cbor;
 import org.gullway.protocol.Command;
 import org.gullway.protocol.MalformedException;
@@ -82,8 +83,9 @@
         this.placing = new Placing(settings.teams());
         Duration report = settings.reportInterval();
         this.machines = new MachineControl(view, self, report);
-        this.booking = new ReservedBooking(view, placing, pauses);
-        this.queue = new BestEffortQueue(view, placing, pauses, self.node(), report, random.split());
+        Urgency urgency = new Urgency(settings.objectives());
+        this.booking = new ReservedBooking(view, placing, pauses, urgency);
+        this.queue = new BestEffortQueue(view, placing, pauses, urgency, self.node(), report, random.split());
         this.repair = new Repair(view, self.node(), report.multipliedBy(5), random.split());
         this.fleet = new FleetPlan(view, placing,
                 new FleetPlan.Policy(operator.spareShare(), operator.idleReturn(), operator.bootPatience()));
--- a/src/main/java/org/gullway/coordination/BestEffortQueue.java
+++ b/src/main/java/org/gullway/coordination/BestEffortQueue.java
@@ -10,6 +10,7 @@
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.function.Predicate;
 import java.util.random.RandomGenerator;
 import org.gullway.protocol.Offer;
 
@@ -24,6 +25,7 @@
     private final ClusterView view;
     private final Placing placing;
     private final JobPauses pauses;
+    private final Urgency urgency;
     private final String self;
     private final Duration offerLife;
     private final RandomGenerator random;
@@ -39,11 +41,12 @@
     public record Outgoing(String peer, Offer offer) {
     }
 
-    public BestEffortQueue(ClusterView view, Placing placing, JobPauses pauses, String self, Duration offerLife,
-                           RandomGenerator random) {
+    public BestEffortQueue(ClusterView view, Placing placing, JobPauses pauses, Urgency urgency, String self,
+                           Duration offerLife, RandomGenerator random) {
         this.view = view;
         this.placing = placing;
         this.pauses = pauses;
+        this.urgency = urgency;
         this.self = self;
         this.offerLife = offerLife;
         this.random = random;
@@ -67,7 +70,7 @@
             }
         }
         mine.sort(Comparator.<JobRecord, org.gullway.protocol.Rank>comparing(j -> j.request().rank())
-                .thenComparing(BestEffortQueue::due)
+                .thenComparing(urgency::due)
                 .thenComparing(j -> j.request().id()));
         Map<MachineRecord, Offer> room = new LinkedHashMap<>();
         for (MachineRecord machine : own) {
@@ -84,8 +87,10 @@
         room.keySet().removeIf(machine -> view.closed().contains(machine.name()));
         // A team within its guarantee need not wait for others: its jobs have their turns first.
         Guarantees guarantees = Guarantees.of(view, placing);
-        fill(draft, room.keySet(), mine.stream().filter(guarantees::holdFor).toList());
-        fill(draft, room.keySet(), mine.stream().filter(job -> !guarantees.holdFor(job)).toList());
+        Predicate<JobRecord> late = job -> urgency.tooLate(job, draft.timeOfDay());
+        fill(draft, room.keySet(), mine.stream().filter(late.negate().and(guarantees::holdFor)).toList());
+        fill(draft, room.keySet(), mine.stream().filter(late.negate()).toList());
+        fill(draft, room.keySet(), mine);
         List<Outgoing> outgoing = new ArrayList<>();
         if (othersWait) {
             room.forEach((machine, offer) -> {
@@ -99,11 +104,6 @@
         return outgoing;
     }
 
-    private static Instant due(JobRecord job) {
-        Duration deadline = job.request().deadline();
-        return deadline == null ? job.submitted().plus(Duration.ofMinutes(5)) : job.submitted().plus(deadline);
-    }
-
     /** Starts tasks in equal turns of the teams until nothing more fits. */
     private void fill(Draft draft, Collection<MachineRecord> room, List<JobRecord> mine) {
         List<JobRecord> left = new ArrayList<>(mine);
--- a/src/main/java/org/gullway/coordination/ReservedBooking.java
+++ b/src/main/java/org/gullway/coordination/ReservedBooking.java
@@ -19,11 +19,13 @@
     private final ClusterView view;
     private final Placing placing;
     private final JobPauses pauses;
+    private final Urgency urgency;
 
-    public ReservedBooking(ClusterView view, Placing placing, JobPauses pauses) {
+    public ReservedBooking(ClusterView view, Placing placing, JobPauses pauses, Urgency urgency) {
         this.view = view;
         this.placing = placing;
         this.pauses = pauses;
+        this.urgency = urgency;
     }
 
     public void propose(Draft draft, Instant now) {
@@ -52,7 +54,7 @@
                 unfitted.add(draft.job(job.request().id()));
             }
         }
-        RoomMaking rooms = new RoomMaking(view, placing, draft, machines);
+        RoomMaking rooms = new RoomMaking(view, placing, urgency, draft, machines);
         List<JobRecord> stuck = new ArrayList<>();
         for (JobRecord job : unfitted) {
             if (!makeRoom(rooms, draft, job, machines)) {
--- a/src/main/java/org/gullway/coordination/RoomMaking.java
+++ b/src/main/java/org/gullway/coordination/RoomMaking.java
@@ -18,8 +18,12 @@
  * that one waiting task never has two others stopped for it.
  */
 final class RoomMaking {
+    /** Work of a job that is late anyway weighs less than work that can still be in time. */
+    private static final double TOO_LATE_WEIGHT = 0.3;
+
     private final ClusterView view;
     private final Placing placing;
+    private final Urgency urgency;
     private final Draft draft;
     /** Room that is free, or will be once stopping tasks are gone, less what is meant for waiting tasks. */
     private final Map<String, Free> free = new HashMap<>();
@@ -52,9 +56,11 @@
     private record Victim(JobRecord job, Placement placement, double loss) {
     }
 
-    RoomMaking(ClusterView view, Placing placing, Draft draft, Collection<MachineRecord> machines) {
+    RoomMaking(ClusterView view, Placing placing, Urgency urgency, Draft draft,
+               Collection<MachineRecord> machines) {
         this.view = view;
         this.placing = placing;
+        this.urgency = urgency;
         this.draft = draft;
         for (MachineRecord machine : machines) {
             MachineType type = placing.types().get(machine.type());
@@ -154,6 +160,7 @@
         if (job.request().saves()) {
             seconds = Math.min(seconds, job.request().save().toMillis() / 1000.0);
         }
-        return (1 + seconds) * job.request().cpus();
+        double weight = urgency.tooLate(job, draft.timeOfDay()) ? TOO_LATE_WEIGHT : 1;
+        return (1 + seconds) * job.request().cpus() * weight;
     }
 }
--- /dev/null
+++ b/src/main/java/org/gullway/coordination/Urgency.java
@@ -0,0 +1,55 @@
+package org.gullway.coordination;
+
+import java.time.Duration;
+import java.time.Instant;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import org.gullway.protocol.Settings;
+
+/** When a job should be complete, by its own deadline or its class's objective, and whether it still can be. */
+public final class Urgency {
+    /** Estimates are often wrong; a job is given up only when even a part of its estimate is too long. */
+    private static final double ESTIMATE_SHARE = 0.7;
+    /** Nobody waits for ever: a job as late as this has its turn by age again. */
+    private static final Duration LONGEST_PASSED_OVER = Duration.ofMinutes(10);
+    private static final Duration NO_AIM = Duration.ofMinutes(5);
+
+    private final Map<String, Duration> finishWithin = new HashMap<>();
+
+    public Urgency(List<Settings.Objective> objectives) {
+        for (Settings.Objective objective : objectives) {
+            if (objective.kind().equals("finished") && objective.jobClass() != null && objective.within() != null) {
+                finishWithin.merge(objective.jobClass(), objective.within(), (a, b) -> a.compareTo(b) < 0 ? a : b);
+            }
+        }
+    }
+
+    private Duration aim(JobRecord job) {
+        Duration deadline = job.request().deadline();
+        Duration within = finishWithin.get(job.request().jobClass());
+        if (deadline == null) {
+            return within;
+        }
+        return within == null || deadline.compareTo(within) < 0 ? deadline : within;
+    }
+
+    /** Time of day at which the job should be complete; jobs without an aim rank as if they had a long one. */
+    public Instant due(JobRecord job) {
+        Duration aim = aim(job);
+        return job.submitted().plus(aim == null ? NO_AIM : aim);
+    }
+
+    /**
+     * Whether a task started now would end after the job is due. In an overload such jobs come after those that can
+     * still be in time: by due time alone the late ones would make all others late too (senderos-altos rough).
+     */
+    public boolean tooLate(JobRecord job, Instant timeOfDay) {
+        if (aim(job) == null) {
+            return false;
+        }
+        Duration least = Duration.ofMillis((long) (job.request().estimate().toMillis() * ESTIMATE_SHARE));
+        Instant due = due(job);
+        return timeOfDay.plus(least).isAfter(due) && timeOfDay.isBefore(due.plus(LONGEST_PASSED_OVER));
+    }
+}
--- a/src/test/java/org/gullway/Rehearsal.java
+++ b/src/test/java/org/gullway/Rehearsal.java
@@ -9,8 +9,10 @@
 import java.util.Map;
 import java.util.SplittableRandom;
 import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.ExecutionException;
 import java.util.concurrent.ThreadLocalRandom;
 import java.util.concurrent.TimeUnit;
+import java.util.concurrent.TimeoutException;
 import org.gullway.protocol.Cbor;
 import org.gullway.protocol.JobRequest;
 import org.gullway.protocol.MachineType;
@@ -33,6 +35,7 @@
  * real sockets uses the same day.
  */
 public final class Rehearsal {
+    private static final int TRIES = 3;
     private static final Duration PATIENCE = Duration.ofSeconds(40);
 
     private Rehearsal() {
@@ -45,7 +48,14 @@
         command.addAll(List.of(args).subList(2, args.length));
         command.addAll(List.of("-XX:ArchiveClassesAtExit=" + args[0], "-Xlog:cds=off", "-Xlog:cds+dynamic=off",
                 "-jar", args[1]));
-        run(command);
+        for (int left = TRIES; left > 0; left--) {
+            try {
+                run(command);
+                left = 0;
+            } catch (ExecutionException | TimeoutException e) {
+                System.err.println("the rehearsal failed, tries left: " + (left - 1) + ": " + e);
+            }
+        }
         if (!Files.exists(Path.of(args[0]))) {
             throw new IllegalStateException("no class-data archive was written");
         }
