--- a/src/main/java/org/gullway/coordination/FleetPlan.java
+++ b/src/main/java/org/gullway/coordination/FleetPlan.java
@@ -24,7 +24,7 @@
  */
 public final class FleetPlan {
     private static final int MOST_TASKS_LAID_OUT = 400;
-    private static final Duration BURST_HALF_LIFE = Duration.ofMinutes(5);
+    private static final Duration BURST_HALF_LIFE = Duration.ofSeconds(90);
     private static final Duration NO_CAPACITY_PAUSE = Duration.ofSeconds(10);
 
     /** What can be set about the size of the fleet. */
