No spare room once urgent jobs stop coming; use spot notices to save and to return

A notice now stops tasks that can save in time and returns the machine at its end, without waiting for silence.

--- a/src/main/java/org/gullway/coordination/FleetPlan.java
+++ b/src/main/java/org/gullway/coordination/FleetPlan.java
@@ -24,6 +24,7 @@
  */
 public final class FleetPlan {
     private static final int MOST_TASKS_LAID_OUT = 400;
+    private static final Duration BURST_MEMORY = Duration.ofMinutes(1);
     private static final Duration BURST_HALF_LIFE = Duration.ofSeconds(90);
     private static final Duration NO_CAPACITY_PAUSE = Duration.ofSeconds(10);
 
@@ -117,21 +118,23 @@
         return list;
     }
 
-    /** Room to be kept free for urgent work: a share of what it uses, and at least a large job's. */
+    /** Room to be kept free for urgent work: a share of what it uses, and at least a large job's while such jobs come. */
     private double spareWanted(double urgentUse, Instant now) {
-        if (burstAt.equals(Instant.MIN)) {
-            burstAt = now;
-        }
-        double halves = Duration.between(burstAt, now).toMillis() / (double) BURST_HALF_LIFE.toMillis();
-        burst *= Math.pow(0.5, halves);
-        burstAt = now;
         for (JobRecord job : view.jobs()) {
             if (job.reserved() && counted.add(job.request().id())) {
-                burst = Math.max(burst, job.request().tasks() * job.request().cpus());
+                double size = job.request().tasks() * job.request().cpus();
+                burst = Math.max(burst * fading(now), size);
+                burstAt = now;
             }
         }
         counted.removeIf(id -> view.job(id) == null);
-        return Math.max(policy.spareShare() * urgentUse, burst);
+        boolean quiet = burstAt.plus(BURST_MEMORY).isBefore(now);
+        return Math.max(policy.spareShare() * urgentUse, quiet ? 0 : burst * fading(now));
+    }
+
+    private double fading(Instant now) {
+        return burstAt.equals(Instant.MIN) ? 0
+                : Math.pow(0.5, Duration.between(burstAt, now).toMillis() / (double) BURST_HALF_LIFE.toMillis());
     }
 
     /** What to rent now. */
--- a/src/main/java/org/gullway/coordination/MachineControl.java
+++ b/src/main/java/org/gullway/coordination/MachineControl.java
@@ -20,6 +20,7 @@
  */
 public final class MachineControl {
     private static final Duration RETRY = Duration.ofMillis(500);
+    private static final Duration NOTICE_MARGIN = Duration.ofSeconds(1);
     private static final Duration ERROR_WINDOW = Duration.ofMinutes(2);
     private static final int ERRORS_OF_JOBS = 2;
 
@@ -231,6 +232,7 @@
             if (worker.openBelow() >= draft.epoch() && draft.hasRoomFor(1)) {
                 draft.raiseEpoch();
             }
+            beforeTaken(draft, record, worker, now);
             if (record.fate() == Fate.STAYS && draft.hasRoomFor(1)
                     && (worker.noticeEnd() != null || worker.failedLately(now, ERROR_WINDOW).size() >= ERRORS_OF_JOBS)) {
                 draft.put(Keys.machine(record.name()), record.meant(Fate.LEAVING));
@@ -239,6 +241,33 @@
         markSilent(draft, now);
     }
 
+    /**
+     * Before the cloud takes a machine away, tasks that can save are stopped in time to do so; at the end the machine
+     * is returned without waiting for its silence to be noticed.
+     */
+    private void beforeTaken(Draft draft, MachineRecord record, Worker worker, Instant now) {
+        if (worker.noticeEnd() == null) {
+            return;
+        }
+        if (!now.isBefore(worker.noticeEnd())) {
+            if (record.fate() != Fate.LOST && draft.hasRoomFor(1)) {
+                draft.put(Keys.machine(record.name()), record.meant(Fate.LOST));
+            }
+            return;
+        }
+        view.placementsOn(record.name()).forEach((id, placement) -> {
+            JobRecord job = draft.job(id.task().job());
+            if (job == null || !job.request().saves() || !draft.hasRoomFor(2)) {
+                return;
+            }
+            Placement current = job.placementOf(placement.task(), placement.attempt());
+            Instant latest = worker.noticeEnd().minus(grace(job)).minus(NOTICE_MARGIN);
+            if (current != null && !current.stopping() && !now.isBefore(latest)) {
+                draft.putJob(job.stopping(current::equals));
+            }
+        });
+    }
+
     private void claim(Draft draft, Instant timeOfDay) {
         claims.removeIf(name -> {
             Worker worker = workers.get(name);
