--- /dev/null
+++ b/src/test/java/org/gullway/RealSocketsTest.java
@@ -0,0 +1,14 @@
+package org.gullway;
+
+import java.nio.file.Path;
+import java.util.List;
+import org.junit.jupiter.api.Test;
+
+/** A controller as a process of its own serves jobs over real sockets; the rehearsal fails if any is not done. */
+class RealSocketsTest {
+    @Test
+    void servesJobsOverLoopback() throws Exception {
+        Rehearsal.run(List.of(Path.of(System.getProperty("java.home"), "bin", "java").toString(), "-Xmx120m",
+                "-XX:+UseSerialGC", "-cp", System.getProperty("java.class.path"), "org.gullway.Main"));
+    }
+}
--- /dev/null
+++ b/src/test/java/org/gullway/coordination/BestEffortQueueTest.java
@@ -0,0 +1,91 @@
+package org.gullway.coordination;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import java.time.Duration;
+import java.time.Instant;
+import java.util.List;
+import java.util.SplittableRandom;
+import org.gullway.protocol.Offer;
+import org.gullway.protocol.Rank;
+import org.gullway.protocol.Settings;
+import org.junit.jupiter.api.Test;
+
+class BestEffortQueueTest {
+    private final ClusterView view = Samples.view();
+    private final Urgency urgency = new Urgency(List.of(
+            new Settings.Objective("finished", "render", Duration.ofSeconds(80), 0.9)));
+    private final BestEffortQueue queue = new BestEffortQueue(view, Samples.placing(), new JobPauses(), urgency,
+            "perch-0", Duration.ofSeconds(3), new SplittableRandom(1));
+    private final MachineRecord machine = Samples.machine("vm-1", "small", Samples.SELF);
+
+    BestEffortQueueTest() {
+        view.put(Keys.machine("vm-1"), machine, 10);
+    }
+
+    private void accept(String id, String team, String owner, int tasks, long ageSeconds, long mark) {
+        view.put(Keys.job(id), JobRecord.accepted(Samples.request(id, team, Rank.NORMAL, tasks, 4), owner,
+                Samples.DAY.minusSeconds(ageSeconds)), mark);
+    }
+
+    private Draft draft() {
+        return new Draft(view, Samples.SELF, Samples.LIMITS, Samples.DAY);
+    }
+
+    @Test
+    void teamsTakeEqualTurns() {
+        accept("run-000001", "red", "perch-0", 9, 9, 11);
+        accept("run-000002", "blue", "perch-0", 9, 1, 12);
+        Draft draft = draft();
+        queue.propose(draft, List.of(machine), Instant.EPOCH);
+        assertThat(draft.job("run-000001").live()).hasSize(2);
+        assertThat(draft.job("run-000002").live()).hasSize(2);
+    }
+
+    @Test
+    void aTeamWithinItsGuaranteeGoesFirst() {
+        accept("run-000001", "red", "perch-0", 9, 9, 11);
+        accept("run-000002", "blue", "perch-0", 4, 1, 12);
+        Draft draft = draft();
+        queue.propose(draft, List.of(machine), Instant.EPOCH);
+        assertThat(draft.job("run-000001").live()).isEmpty();
+        assertThat(draft.job("run-000002").live()).hasSize(4);
+    }
+
+    @Test
+    void whatCanBeInTimeGoesBeforeWhatCanNot() {
+        accept("run-000001", "red", "perch-0", 4, 90, 11);
+        accept("run-000002", "red", "perch-0", 4, 5, 12);
+        Draft draft = draft();
+        queue.propose(draft, List.of(machine), Instant.EPOCH);
+        assertThat(draft.job("run-000002").live()).hasSize(4);
+        assertThat(draft.job("run-000001").live()).isEmpty();
+    }
+
+    @Test
+    void nothingStartsOnAClosedMachine() {
+        view.put(Keys.CLOSED, new ClosedMachines(java.util.Set.of("vm-1")), 20);
+        accept("run-000001", "red", "perch-0", 4, 5, 11);
+        Draft draft = draft();
+        queue.propose(draft, List.of(machine), Instant.EPOCH);
+        assertThat(draft.isEmpty()).isTrue();
+    }
+
+    @Test
+    void roomThatFitsNothingHereIsOfferedToAPeerAndUsedThere() {
+        accept("run-000001", "red", "perch-1", 2, 5, 11);
+        Draft draft = draft();
+        List<BestEffortQueue.Outgoing> offers = queue.propose(draft, List.of(machine), Instant.EPOCH);
+        assertThat(draft.isEmpty()).isTrue();
+        assertThat(offers).containsExactly(new BestEffortQueue.Outgoing("perch-1",
+                new Offer("vm-1", 1, List.of("perch-0"))));
+
+        BestEffortQueue peer = new BestEffortQueue(view, Samples.placing(), new JobPauses(), urgency, "perch-1",
+                Duration.ofSeconds(3), new SplittableRandom(2));
+        peer.offered(offers.get(0).offer(), Instant.EPOCH);
+        Draft there = new Draft(view, Samples.PEER, Samples.LIMITS, Samples.DAY);
+        peer.propose(there, List.of(), Instant.EPOCH);
+        assertThat(there.job("run-000001").live()).hasSize(2);
+        assertThat(there.guards()).contains(Keys.member("perch-1"), Keys.machine("vm-1"), Keys.team("red"));
+    }
+}
--- /dev/null
+++ b/src/test/java/org/gullway/coordination/RangesTest.java
@@ -0,0 +1,41 @@
+package org.gullway.coordination;
+
+import static org.assertj.core.api.Assertions.assertThat;
+import static org.assertj.core.api.Assertions.assertThatThrownBy;
+
+import java.util.List;
+import java.util.TreeSet;
+import net.jqwik.api.ForAll;
+import net.jqwik.api.Property;
+import net.jqwik.api.constraints.IntRange;
+import net.jqwik.api.constraints.Size;
+import org.junit.jupiter.api.Test;
+
+class RangesTest {
+    @Property(tries = 500, seed = "4")
+    void behaveLikeASet(@ForAll @Size(max = 60) List<@IntRange(min = 0, max = 40) Integer> numbers) {
+        Ranges ranges = Ranges.EMPTY;
+        TreeSet<Integer> set = new TreeSet<>();
+        for (int number : numbers) {
+            ranges = ranges.with(number);
+            set.add(number);
+            assertThat(ranges.size()).isEqualTo(set.size());
+        }
+        int missing = 0;
+        while (set.contains(missing)) {
+            missing++;
+        }
+        assertThat(ranges.firstMissing(0)).isEqualTo(missing);
+        for (int i = 0; i <= 41; i++) {
+            assertThat(ranges.contains(i)).isEqualTo(set.contains(i));
+        }
+        assertThat(Ranges.of(ranges.bounds())).isEqualTo(ranges);
+    }
+
+    @Test
+    void refuseBoundsOutOfOrder() {
+        assertThatThrownBy(() -> Ranges.of(0, 3, 4, 5)).isInstanceOf(IllegalArgumentException.class);
+        assertThatThrownBy(() -> Ranges.of(3, 2)).isInstanceOf(IllegalArgumentException.class);
+        assertThatThrownBy(() -> Ranges.of(3)).isInstanceOf(IllegalArgumentException.class);
+    }
+}
