--- a/src/main/java/org/gullway/coordination/RoomMaking.java
+++ b/src/main/java/org/gullway/coordination/RoomMaking.java
@@ -20,12 +20,10 @@
 final class RoomMaking {
     /** Work of a job that is late anyway weighs less than work that can still be in time. */
     private static final double TOO_LATE_WEIGHT = 0.3;
-    private static final Duration LEFT_ALONE = Duration.ofSeconds(30);
 
     private final ClusterView view;
     private final Placing placing;
     private final Urgency urgency;
-    private final Guarantees guarantees;
     private final Draft draft;
     /** Room that is free, or will be once stopping tasks are gone, less what is meant for waiting tasks. */
     private final Map<String, Free> free = new HashMap<>();
@@ -63,7 +61,6 @@
         this.view = view;
         this.placing = placing;
         this.urgency = urgency;
-        this.guarantees = Guarantees.of(view, placing);
         this.draft = draft;
         for (MachineRecord machine : machines) {
             MachineType type = placing.types().get(machine.type());
@@ -163,10 +160,6 @@
         if (job.request().saves()) {
             seconds = Math.min(seconds, job.request().save().toMillis() / 1000.0);
         }
-        if (guarantees.holdFor(job)) {
-            // A start counts only if the task is left alone for a while; a guaranteed one stopped early is one missed.
-            seconds = Math.max(seconds, LEFT_ALONE.toSeconds());
-        }
         double weight = urgency.tooLate(job, draft.timeOfDay()) ? TOO_LATE_WEIGHT : 1;
         return (1 + seconds) * job.request().cpus() * weight;
     }
--- a/src/main/java/org/gullway/transport/HttpServer.java
+++ b/src/main/java/org/gullway/transport/HttpServer.java
@@ -8,10 +8,14 @@
 import io.undertow.util.SameThreadExecutor;
 import java.nio.ByteBuffer;
 import java.time.Duration;
+import org.slf4j.Logger;
+import org.slf4j.LoggerFactory;
 import org.xnio.XnioWorker;
 
 /** Listens on one address and hands whole requests to a handler on the event loop. */
 public final class HttpServer {
+    private static final Logger LOG = LoggerFactory.getLogger(HttpServer.class);
+
     /** Handles one request; the answer may be given at once or later, always exactly once. */
     @FunctionalInterface
     public interface Handler {
@@ -110,8 +114,7 @@
             try {
                 handler.handle(new ExchangeCall(exchange, body));
             } catch (RuntimeException e) {
-                org.slf4j.LoggerFactory.getLogger(HttpServer.class)
-                        .error("{} {} failed", exchange.getRequestMethod(), exchange.getRequestPath(), e);
+                LOG.error("{} {} failed", exchange.getRequestMethod(), exchange.getRequestPath(), e);
                 new ExchangeCall(exchange, body).refuse(503, Duration.ofSeconds(2));
             }
         });
