--- a/src/main/java/org/gullway/protocol/OperatorSettings.java
+++ b/src/main/java/org/gullway/protocol/OperatorSettings.java
@@ -22,7 +22,7 @@
 public record OperatorSettings(Duration membershipLease, double spareShare, Duration idleReturn, int bootPatience,
                                Duration logInterval) {
     public static final OperatorSettings DEFAULTS = new OperatorSettings(
-            Duration.ofSeconds(6), 0.5, Duration.ofSeconds(25), 4, Duration.ofSeconds(10));
+            Duration.ofSeconds(6), 0.5, Duration.ofSeconds(45), 4, Duration.ofSeconds(10));
 
     public OperatorSettings {
         if (membershipLease.compareTo(Duration.ofSeconds(1)) < 0
