--- a/src/main/java/org/gullway/CloudLoop.java
+++ b/src/main/java/org/gullway/CloudLoop.java
@@ -24,6 +24,7 @@
 import org.gullway.protocol.CloudMessages.Listed;
 import org.gullway.protocol.MalformedException;
 import org.gullway.transport.EventLoop;
+import org.gullway.transport.Budget;
 import org.gullway.transport.Client;
 import org.gullway.transport.Reply;
 import org.slf4j.Logger;
@@ -46,12 +47,9 @@
     private final Incarnation self;
     private final InstantSource timeOfDay;
     private final Runnable changed;
-    private final double callsPerSecond;
-    private final Instant started;
+    private final Budget budget;
     private Instant typesAt = Instant.MIN;
     private Instant listedAt = Instant.MIN;
-    private double budget = 1;
-    private Instant budgetAt;
     private int charters;
     private boolean returning;
     private boolean listing;
@@ -74,27 +72,20 @@
         this.loop = loop;
         this.http = http;
         this.address = address;
-        this.callsPerSecond = callsPerSecond;
+        this.budget = new Budget(loop, callsPerSecond);
         this.view = view;
         this.placing = placing;
         this.fleet = fleet;
         this.self = self;
         this.timeOfDay = timeOfDay;
         this.changed = changed;
-        this.started = loop.now();
-        this.budgetAt = started;
     }
 
-    /** Spends one call of the budget that the controllers share; each takes care to use only a part of it. */
     private boolean spend() {
-        Instant now = loop.now();
-        double earned = Duration.between(budgetAt, now).toMillis() / 1000.0 * callsPerSecond * 0.6;
-        budget = Math.min(callsPerSecond, budget + earned);
-        budgetAt = now;
-        if (budget < 1) {
+        if (!budget.available()) {
             return false;
         }
-        budget -= 1;
+        budget.spend(1);
         return true;
     }
 
--- a/src/main/java/org/gullway/Controller.java
+++ b/src/main/java/org/gullway/Controller.java
@@ -79,7 +79,8 @@
         this.self = new Incarnation(settings.nodeName(),
                 (timeOfDay.millis() << 12 | random.nextInt(1 << 12)) & Long.MAX_VALUE);
         Membership membership = new Membership(self, operator.membershipLease());
-        this.ledger = new Ledger(loop, new StateStore(http, settings.stateAddress()), view, membership, this::schedule);
+        this.ledger = new Ledger(loop, new StateStore(http, settings.stateAddress()), view, membership,
+                settings.stateChangesPerSecond(), this::schedule);
         this.placing = new Placing(settings.teams());
         Duration report = settings.reportInterval();
         this.machines = new MachineControl(view, self, report);
--- a/src/main/java/org/gullway/bookkeeping/Ledger.java
+++ b/src/main/java/org/gullway/bookkeeping/Ledger.java
@@ -14,6 +14,7 @@
 import org.gullway.coordination.Keys;
 import org.gullway.coordination.Membership;
 import org.gullway.protocol.MalformedException;
+import org.gullway.transport.Budget;
 import org.gullway.transport.EventLoop;
 import org.gullway.transport.Reply;
 import org.slf4j.Logger;
@@ -43,6 +44,7 @@
     private final ClusterView view;
     private final Membership membership;
     private final Runnable changed;
+    private final Budget changes;
     private Phase phase = Phase.OUTSIDE;
     private boolean synced;
     private Instant lastWatched = Instant.MIN;
@@ -54,12 +56,14 @@
     private long watchRun;
     private int renewals;
 
-    public Ledger(EventLoop loop, StateStore store, ClusterView view, Membership membership, Runnable changed) {
+    public Ledger(EventLoop loop, StateStore store, ClusterView view, Membership membership,
+                  double changesPerSecond, Runnable changed) {
         this.loop = loop;
         this.store = store;
         this.view = view;
         this.membership = membership;
         this.changed = changed;
+        this.changes = new Budget(loop, changesPerSecond);
     }
 
     static boolean isTethered(String key) {
@@ -271,7 +275,7 @@
 
     /** Whether a draft could be committed now. */
     public boolean ready() {
-        if (!entitled() || committing || loop.now().isBefore(commitNotBefore)) {
+        if (!entitled() || committing || loop.now().isBefore(commitNotBefore) || !changes.available()) {
             return false;
         }
         if (view.watched() < awaited) {
@@ -288,6 +292,7 @@
 
     public void commit(Draft draft, Consumer<Result> callback) {
         committing = true;
+        changes.spend(draft.changes().size());
         long lease = membership.lease();
         store.commit(draft.guards(), view::mark, draft.changes(), lease, outcome -> {
             if (outcome.is(200)) {
--- /dev/null
+++ b/src/main/java/org/gullway/transport/Budget.java
@@ -0,0 +1,36 @@
+package org.gullway.transport;
+
+import java.time.Duration;
+import java.time.Instant;
+
+/**
+ * What this controller may ask of a service that limits all controllers together: a part of the limit, with as much
+ * saved up as a second brings. The rest of the sharing is left to the service's refusals.
+ */
+public final class Budget {
+    private static final double PART = 0.6;
+
+    private final EventLoop loop;
+    private final double perSecond;
+    private double left;
+    private Instant at;
+
+    public Budget(EventLoop loop, double limitPerSecond) {
+        this.loop = loop;
+        this.perSecond = Math.max(1, limitPerSecond * PART);
+        this.left = perSecond;
+        this.at = loop.now();
+    }
+
+    /** Whether anything may be asked now; spending may go below zero and is earned back. */
+    public boolean available() {
+        Instant now = loop.now();
+        left = Math.min(perSecond, left + Duration.between(at, now).toMillis() / 1000.0 * perSecond);
+        at = now;
+        return left >= 1;
+    }
+
+    public void spend(int count) {
+        left -= count;
+    }
+}
--- a/src/test/java/org/gullway/bookkeeping/LedgerTest.java
+++ b/src/test/java/org/gullway/bookkeeping/LedgerTest.java
@@ -35,7 +35,7 @@
             store.handle(call);
         });
         ledger = new Ledger(process, new StateStore(network.client("perch-0", process), STATE), view,
-                new Membership(Samples.SELF, Duration.ofSeconds(6)), () -> { });
+                new Membership(Samples.SELF, Duration.ofSeconds(6)), 30, () -> { });
         ledger.start();
         run(1);
     }
@@ -61,6 +61,19 @@
         assertThat(store.value(Keys.EPOCH).path("epoch").asLong()).isEqualTo(1);
     }
 
+    @Test
+    void keepsWithinItsPartOfTheStoresChanges() {
+        int committed = 0;
+        for (int i = 0; i < 1000; i++) {
+            time.runUntil(time.now().plusMillis(10));
+            if (ledger.ready()) {
+                ledger.commit(draft(), result -> { });
+                committed++;
+            }
+        }
+        assertThat(committed).isBetween(100, 30 * 10);
+    }
+
     @Test
     void isNotEntitledWithoutTheStoreAndIsAgainAfterwards() {
         store.setDown(true);
