--- a/src/main/java/org/gullway/CloudLoop.java
+++ b/src/main/java/org/gullway/CloudLoop.java
@@ -7,7 +7,6 @@
 import java.util.ArrayList;
 import java.util.Deque;
 import java.util.HashMap;
-import java.util.HashSet;
 import java.util.LinkedHashMap;
 import java.util.LinkedHashSet;
 import java.util.List;
@@ -16,8 +15,8 @@
 import org.gullway.coordination.ClusterView;
 import org.gullway.coordination.Draft;
 import org.gullway.coordination.FleetPlan;
+import org.gullway.coordination.Grouping;
 import org.gullway.coordination.Incarnation;
-import org.gullway.coordination.Keys;
 import org.gullway.coordination.MachineRecord;
 import org.gullway.coordination.Placing;
 import org.gullway.protocol.CloudMessages;
@@ -51,6 +50,7 @@
     private Instant typesAt = Instant.MIN;
     private Instant listedAt = Instant.MIN;
     private int charters;
+    private int groupings;
     private boolean returning;
     private boolean listing;
     private boolean listedOnce;
@@ -246,20 +246,26 @@
     /** Puts on record what arrived, what failed and what is gone. */
     void propose(Draft draft, Instant timeOfDay) {
         arrivals.keySet().removeIf(name -> view.machine(name) != null);
-        arrivals.forEach((name, arrival) -> {
-            if (draft.hasRoomFor(1)) {
-                FleetPlan.record(draft, name, arrival.rental(), arrival.rented() == null ? timeOfDay : arrival.rented());
+        if (!arrivals.isEmpty()) {
+            Grouping grouping = new Grouping(view, draft, Long.toString(self.number(), 36) + "-" + ++groupings);
+            for (Map.Entry<String, Arrival> entry : arrivals.entrySet()) {
+                FleetPlan.Rental rental = entry.getValue().rental();
+                Instant rented = entry.getValue().rented() == null ? timeOfDay : entry.getValue().rented();
+                if (!grouping.add(MachineRecord.booting(entry.getKey(), rental.type(), rental.zone(), rental.spot(), rented,
+                        self, 0))) {
+                    break;
+                }
             }
-        });
+        }
         for (String name : failed) {
             MachineRecord machine = draft.machine(name);
-            if (machine != null && machine.fate() != MachineRecord.Fate.LOST && draft.hasRoomFor(1)) {
-                draft.put(Keys.machine(name), machine.meant(MachineRecord.Fate.LOST));
+            if (machine != null && machine.fate() != MachineRecord.Fate.LOST && draft.canPutMachine(name)) {
+                draft.putMachine(machine.meant(MachineRecord.Fate.LOST));
             }
         }
-        for (String name : new HashSet<>(gone.keySet())) {
-            if (view.machine(name) != null && draft.hasRoomFor(1)) {
-                draft.remove(Keys.machine(name));
+        for (String name : gone.keySet()) {
+            if (draft.machine(name) != null && draft.canPutMachine(name)) {
+                draft.removeMachine(name);
             }
         }
     }
--- a/src/main/java/org/gullway/Controller.java
+++ b/src/main/java/org/gullway/Controller.java
@@ -3,14 +3,18 @@
 import java.time.Duration;
 import java.time.Instant;
 import java.time.InstantSource;
+import java.util.ArrayList;
 import java.util.HashMap;
+import java.util.List;
 import java.util.Map;
 import java.util.SplittableRandom;
 import org.gullway.bookkeeping.Ledger;
 import org.gullway.bookkeeping.StateStore;
 import org.gullway.coordination.BestEffortQueue;
 import org.gullway.coordination.ClusterView;
+import org.gullway.coordination.DecisionSteps;
 import org.gullway.coordination.Draft;
+import org.gullway.coordination.EndedAttempts;
 import org.gullway.coordination.FleetPlan;
 import org.gullway.coordination.Incarnation;
 import org.gullway.coordination.JobPauses;
@@ -20,9 +24,11 @@
 import org.gullway.coordination.Placing;
 import org.gullway.coordination.Repair;
 import org.gullway.coordination.ReservedBooking;
+import org.gullway.coordination.Shares;
 import org.gullway.coordination.Urgency;
 import org.gullway.protocol.Cbor;
 import org.gullway.protocol.Command;
+import org.gullway.protocol.EndNotice;
 import org.gullway.protocol.MalformedException;
 import org.gullway.protocol.Offer;
 import org.gullway.protocol.OperatorSettings;
@@ -43,7 +49,11 @@
     private static final Logger LOG = LoggerFactory.getLogger(Controller.class);
     private static final Duration TICK = Duration.ofMillis(250);
     private static final Duration COMMAND_LIMIT = Duration.ofSeconds(4);
-    private static final Duration OFFER_LIMIT = Duration.ofSeconds(2);
+    private static final Duration MESH_LIMIT = Duration.ofSeconds(2);
+    /** Rounds gather what comes in between; a long one leaves twice its time for everything else. */
+    private static final Duration LEAST_PAUSE = Duration.ofMillis(25);
+    private static final Duration LONGEST_PAUSE = Duration.ofMillis(300);
+    private static final Duration ROUND_BUDGET = Duration.ofMillis(150);
 
     private final EventLoop loop;
     private final Client http;
@@ -53,7 +63,9 @@
     private final Ledger ledger;
     private final Placing placing;
     private final JobPauses pauses = new JobPauses();
+    private final EndedAttempts ended;
     private final MachineControl machines;
+    private final Shares shares;
     private final ReservedBooking booking;
     private final BestEffortQueue queue;
     private final Repair repair;
@@ -64,7 +76,11 @@
     private final Map<String, String> meshAddresses = new HashMap<>();
     private final Draft.Limits limits;
     private final Duration logInterval;
+    private final DecisionSteps steps = new DecisionSteps(ROUND_BUDGET);
+    /** The commit that the present round makes. */
+    private Draft draft;
     private boolean scheduled;
+    private Instant notBefore = Instant.MIN;
 
     /**
      * @param timeOfDay the wall clock, which wanders within the bound that the platform states
@@ -80,22 +96,47 @@
                 (timeOfDay.millis() << 12 | random.nextInt(1 << 12)) & Long.MAX_VALUE);
         Membership membership = new Membership(self, operator.membershipLease());
         this.ledger = new Ledger(loop, new StateStore(http, settings.stateAddress()), view, membership,
-                settings.stateChangesPerSecond(), this::schedule);
+                new Ledger.Pace(settings.stateChangesPerSecond(), settings.stateRequestsPerSecond(),
+                        settings.peers().size() + 1), this::schedule);
         this.placing = new Placing(settings.teams());
         Duration report = settings.reportInterval();
-        this.machines = new MachineControl(view, self, report);
+        this.ended = new EndedAttempts(view);
+        this.machines = new MachineControl(view, self, report, ended);
         Urgency urgency = new Urgency(settings.objectives());
         this.booking = new ReservedBooking(view, placing, pauses, urgency);
         this.queue = new BestEffortQueue(view, placing, pauses, urgency, self.node(), report, random.split());
-        this.repair = new Repair(view, self.node(), report.multipliedBy(5), random.split());
+        this.repair = new Repair(view, placing, self.node(), random.split());
+        List<String> nodes = new ArrayList<>(settings.peers().stream().map(Settings.Peer::name).toList());
+        nodes.add(self.node());
+        this.shares = new Shares(view, placing, self.node(), nodes);
         this.fleet = new FleetPlan(view, placing,
                 new FleetPlan.Policy(operator.spareShare(), operator.idleReturn(), operator.bootPatience()));
         this.cloud = new CloudLoop(loop, http, settings.cloudAddress(), settings.cloudRequestsPerSecond(), view, placing,
                 fleet, self, timeOfDay, this::schedule);
-        this.users = new UserApi(loop, view, ledger, placing, random.split(), metrics, this::schedule);
+        this.users = new UserApi(loop, view, ledger, placing, random.split(), metrics,
+                4 * settings.stateChangesPerCommit(), this::schedule);
         this.limits = new Draft.Limits(settings.stateChangesPerCommit(), settings.stateValueBytes());
         settings.peers().forEach(peer -> meshAddresses.put(peer.name(), peer.address()));
         this.logInterval = operator.logInterval();
+        addSteps();
+    }
+
+    private void addSteps() {
+        steps.add("requests", () -> users.propose(draft, draft.timeOfDay()))
+                .add("machines", () -> machines.propose(draft, loop.now()))
+                .add("ends", () -> ended.propose(draft, ledger.plenty(), loop.now()))
+                .add("shares", () -> shares.propose(draft, leads(), loop.now()))
+                .add("repair", () -> repair.propose(draft, leads(), loop.now()))
+                .add("arrivals", () -> ifLeading(() -> cloud.propose(draft, draft.timeOfDay())))
+                .add("booking", () -> ifLeading(() -> booking.propose(draft, loop.now())))
+                .add("queue", () -> queue.propose(draft, machines.ready(loop.now()), loop.now()).forEach(this::send))
+                .add("fleet", () -> ifLeading(() -> fleet.propose(draft, loop.now(), draft.timeOfDay())));
+    }
+
+    private void ifLeading(Runnable action) {
+        if (leads()) {
+            action.run();
+        }
     }
 
     /** Begins to read the store, to join, and to tick. */
@@ -161,7 +202,9 @@
         MachineControl.Answer answer = machines.report(report, loop.now());
         if (answer instanceof MachineControl.Answer.Commands commands) {
             call.answer(200, Command.response(commands.token(), commands.commands()));
-            schedule();
+            if (commands.changed()) {
+                schedule();
+            }
         } else if (answer instanceof MachineControl.Answer.Elsewhere elsewhere) {
             call.answer(421, Command.redirect(elsewhere.controller()));
         } else {
@@ -170,12 +213,18 @@
     }
 
     void answerPeer(Call call) {
-        if (!call.path().equals("/offer") || call.body() == null) {
-            call.answer(404, new byte[0]);
-            return;
-        }
         try {
-            queue.offered(Offer.decode(call.body()), loop.now());
+            if (call.body() == null) {
+                throw new MalformedException("the body is larger than allowed");
+            }
+            switch (call.path()) {
+                case "/offers" -> queue.offered(Offer.decode(call.body()), loop.now());
+                case "/ends" -> machines.noticed(EndNotice.decode(call.body()), loop.now());
+                default -> {
+                    call.answer(404, new byte[0]);
+                    return;
+                }
+            }
             call.answer(200, new byte[0]);
             schedule();
         } catch (MalformedException e) {
@@ -188,22 +237,27 @@
     private void schedule() {
         if (!scheduled) {
             scheduled = true;
-            loop.execute(() -> {
+            Runnable task = () -> {
                 scheduled = false;
                 round();
-            });
+            };
+            Duration wait = Duration.between(loop.now(), notBefore);
+            if (notBefore.equals(Instant.MIN) || wait.isNegative() || wait.isZero()) {
+                loop.execute(task);
+            } else {
+                loop.after(wait, task);
+            }
         }
     }
 
     private void tick() {
-        cloud.tick(leading() && ledger.entitled());
+        cloud.tick(leads() && ledger.entitled());
         machines.tidy(loop.now());
         pauses.keepOnly(view);
-        queue.keepOnly(view);
-        round();
+        schedule();
     }
 
-    private boolean leading() {
+    private boolean leads() {
         return self.equals(view.leader());
     }
 
@@ -212,54 +266,45 @@
         users.settle();
         machines.entitled(ledger.entitled(), began);
         if (!ledger.entitled()) {
-            repair.interrupted();
             return;
         }
         machines.pushes(began).forEach(this::send);
+        machines.drainNotices().forEach(this::send);
         if (ledger.ready()) {
             decide(began);
         }
-        metrics.round(Duration.between(began, loop.now()));
+        Duration took = Duration.between(began, loop.now());
+        Duration pause = took.multipliedBy(2);
+        notBefore = loop.now().plus(pause.compareTo(LEAST_PAUSE) < 0 ? LEAST_PAUSE
+                : pause.compareTo(LONGEST_PAUSE) > 0 ? LONGEST_PAUSE : pause);
+        metrics.round(took);
     }
 
     private void decide(Instant now) {
-        Instant today = timeOfDay.instant();
-        Draft draft = new Draft(view, self, limits, today);
-        boolean leading = leading();
+        Draft made = new Draft(view, self, limits, timeOfDay.instant());
+        draft = made;
         if (view.leader() == null) {
-            draft.put(Keys.LEADER, self);
+            made.put(Keys.LEADER, self);
+        } else if (leads()) {
+            // A former leader whose membership lapsed may be a member again before it hears of its successor.
+            made.rely(Keys.LEADER);
         }
-        step("requests", () -> users.propose(draft, today));
-        step("machines", () -> machines.propose(draft, now, today));
-        step("repair", () -> repair.propose(draft, leading, now));
-        if (leading) {
-            step("arrivals", () -> cloud.propose(draft, today));
-            step("booking", () -> booking.propose(draft, now));
-            step("fleet", () -> fleet.propose(draft, now, today));
-        }
-        step("queue", () -> queue.propose(draft, machines.ready(now), now).forEach(this::send));
-        if (draft.isEmpty()) {
+        ledger.share(leads());
+        steps.run(loop::now);
+        ended.join(made);
+        if (made.isEmpty()) {
             return;
         }
-        ledger.commit(draft, result -> {
+        ledger.commit(made, result -> {
             metrics.committed(result.committed(), Duration.between(now, loop.now()));
             if (result.committed()) {
-                users.committed(draft);
+                users.committed(made);
             } else {
                 users.refused(result.failed());
             }
         });
     }
 
-    /** One step that fails must not keep the others from their work, round after round. */
-    private static void step(String name, Runnable step) {
-        try {
-            step.run();
-        } catch (RuntimeException e) {
-            LOG.error("the step {} of a round failed", name, e);
-        }
-    }
-
     private void send(MachineControl.Push push) {
         metrics.pushed();
         byte[] body = Command.direct(push.token(), push.session(), push.commands());
@@ -278,10 +323,21 @@
     }
 
     private void send(BestEffortQueue.Outgoing outgoing) {
-        String address = meshAddresses.get(outgoing.peer());
+        metrics.offered();
+        tellPeer(outgoing.peer(), "/offers", Offer.encode(outgoing.offers()));
+    }
+
+    private void send(String node, List<EndNotice> notices) {
+        for (int i = 0; i < notices.size(); i += EndNotice.MOST_TOGETHER) {
+            tellPeer(node, "/ends", EndNotice.encode(
+                    notices.subList(i, Math.min(notices.size(), i + EndNotice.MOST_TOGETHER))));
+        }
+    }
+
+    private void tellPeer(String node, String path, byte[] body) {
+        String address = meshAddresses.get(node);
         if (address != null) {
-            metrics.offered();
-            http.call(address, Reply.Request.post("/offer", outgoing.offer().encode(), OFFER_LIMIT), reply -> { });
+            http.call(address, Reply.Request.post(path, body, MESH_LIMIT), reply -> { });
         }
     }
 
@@ -289,7 +345,7 @@
         int waiting = view.jobs().stream().mapToInt(j -> j.waiting()).sum();
         long up = view.machines().stream().filter(m -> m.takesTasks()).count();
         metrics.log(String.format("%s epoch=%d jobs=%d waiting=%d machines=%d/%d%s",
-                ledger.entitled() ? leading() ? "leader" : "member" : "outside", view.epoch(), view.jobs().size(),
+                ledger.entitled() ? leads() ? "leader" : "member" : "outside", view.epoch(), view.jobs().size(),
                 waiting, up, view.machines().size(), view.closed().isEmpty() ? "" : " closed=" + view.closed().size()));
     }
 }
--- a/src/main/java/org/gullway/UserApi.java
+++ b/src/main/java/org/gullway/UserApi.java
@@ -1,5 +1,6 @@
 package org.gullway;
 
+import com.fasterxml.jackson.databind.JsonNode;
 import java.time.Duration;
 import java.time.Instant;
 import java.util.ArrayList;
@@ -41,6 +42,8 @@
     private static final int MOST_PENDING = 500;
     private static final int MOST_REMEMBERED = 10_000;
     private static final int MOST_VERIFIED = 60;
+    private static final Duration VERIFY_AGAIN = Duration.ofMillis(200);
+    private static final Duration POLL_PATIENCE = Duration.ofMillis(1200);
 
     private final EventLoop loop;
     private final ClusterView view;
@@ -52,6 +55,7 @@
     private final Map<String, Submission> submissions = new LinkedHashMap<>();
     private final Map<String, Cancellation> cancellations = new LinkedHashMap<>();
     private final List<Poll> polls = new ArrayList<>();
+    private final int mostVerified;
     private boolean verifying;
     /** Final states of jobs that ended; they never change, so they may be told from memory. */
     private final Map<String, JobStatus> ended = new LinkedHashMap<>(16, 0.75f, true) {
@@ -67,17 +71,18 @@
     private record Cancellation(String id, Instant came, List<Call> calls) {
     }
 
-    private record Poll(String id, Call call) {
+    private record Poll(String id, Instant came, Call call) {
     }
 
     UserApi(EventLoop loop, ClusterView view, Ledger ledger, Placing placing, RandomGenerator random, Metrics metrics,
-            Runnable changed) {
+            int guardsPerCommit, Runnable changed) {
         this.loop = loop;
         this.view = view;
         this.ledger = ledger;
         this.placing = placing;
         this.random = random;
         this.metrics = metrics;
+        this.mostVerified = Math.min(MOST_VERIFIED, guardsPerCommit);
         this.changed = changed;
     }
 
@@ -259,7 +264,7 @@
         } else if (!ledger.fresh() || polls.size() >= MOST_PENDING) {
             call.refuse(503, RETRY_AFTER);
         } else if (job != null) {
-            polls.add(new Poll(id, call));
+            polls.add(new Poll(id, loop.now(), call));
             verify();
         } else {
             lookUp(id, found -> {
@@ -277,7 +282,7 @@
         if (verifying || polls.isEmpty()) {
             return;
         }
-        List<Poll> batch = new ArrayList<>(polls.subList(0, Math.min(polls.size(), MOST_VERIFIED)));
+        List<Poll> batch = new ArrayList<>(polls.subList(0, Math.min(polls.size(), mostVerified)));
         polls.subList(0, batch.size()).clear();
         Map<String, JobStatus> known = new HashMap<>();
         Set<String> keys = new HashSet<>();
@@ -290,12 +295,23 @@
         }
         verifying = true;
         ledger.verify(keys, stale -> {
+            if (stale == null) {
+                // The store was busy: ask again while the users still wait, those who can not wait come back later.
+                Instant oldest = loop.now().minus(POLL_PATIENCE);
+                batch.stream().filter(poll -> poll.came().isBefore(oldest))
+                        .forEach(poll -> poll.call().refuse(503, RETRY_AFTER));
+                batch.removeIf(poll -> poll.came().isBefore(oldest));
+                polls.addAll(0, batch);
+                loop.after(VERIFY_AGAIN, () -> {
+                    verifying = false;
+                    verify();
+                });
+                return;
+            }
             verifying = false;
             for (Poll poll : batch) {
                 JobStatus status = known.get(poll.id());
-                if (stale == null) {
-                    poll.call().refuse(503, RETRY_AFTER);
-                } else if (status != null && !stale.contains(Keys.job(poll.id()))) {
+                if (status != null && !stale.contains(Keys.job(poll.id()))) {
                     answer(poll.call(), status);
                 } else {
                     lookUp(poll.id(), found -> {
@@ -318,13 +334,8 @@
                 failed.run();
                 return;
             }
-            try {
-                if (live.status() == 200) {
-                    found.accept(((JobRecord) RecordCodec.decode(Keys.job(id), live.body().path("v"))).status());
-                    return;
-                }
-            } catch (MalformedException e) {
-                failed.run();
+            if (live.status() == 200) {
+                found.accept(recorded(id, live.body().path("v")));
                 return;
             }
             ledger.store().get(Keys.ended(id), end -> {
@@ -346,6 +357,16 @@
         });
     }
 
+    /** A record that cannot be read still says that the job was accepted; its users must not be left without answer. */
+    private static JobStatus recorded(String id, JsonNode value) {
+        try {
+            return ((JobRecord) RecordCodec.decode(Keys.job(id), value)).status();
+        } catch (MalformedException e) {
+            LOG.error("the record of {} is not of our form: {}", id, e.getMessage());
+            return new JobStatus(id, value.path("cancelled").asBoolean() ? JobState.CANCELLED : JobState.PENDING, 0, 0);
+        }
+    }
+
     private static void answer(Call call, JobStatus status) {
         call.answer(200, Cbor.encode(status.toNode()));
     }
--- a/src/main/java/org/gullway/bookkeeping/Ledger.java
+++ b/src/main/java/org/gullway/bookkeeping/Ledger.java
@@ -37,6 +37,23 @@
         private static final Result REFUSED = new Result(false, Set.of());
     }
 
+    /** What the state service allows all controllers together, and how many they are. */
+    public record Pace(double changesPerSecond, double requestsPerSecond, int controllers) {
+        /** The leader books most of the work; the others share the rest. */
+        private static final double LEADERS_PART = 0.55;
+        private static final double OTHERS_PART = 0.4;
+        private static final int REQUEST_MILLIS = 2000;
+
+        double part(boolean leading) {
+            return leading ? LEADERS_PART : OTHERS_PART / Math.max(1, controllers - 1);
+        }
+
+        /** Pause after which as many watches, and as many commits, come to a part of the requests allowed. */
+        Duration between() {
+            return Duration.ofMillis((long) Math.min(250, REQUEST_MILLIS * controllers / requestsPerSecond));
+        }
+    }
+
     private enum Phase { OUTSIDE, JOINING, MEMBER }
 
     private final EventLoop loop;
@@ -44,6 +61,7 @@
     private final ClusterView view;
     private final Membership membership;
     private final Runnable changed;
+    private final Pace pace;
     private final Budget changes;
     private Phase phase = Phase.OUTSIDE;
     private boolean synced;
@@ -57,13 +75,14 @@
     private int renewals;
 
     public Ledger(EventLoop loop, StateStore store, ClusterView view, Membership membership,
-                  double changesPerSecond, Runnable changed) {
+                  Pace pace, Runnable changed) {
         this.loop = loop;
         this.store = store;
         this.view = view;
         this.membership = membership;
         this.changed = changed;
-        this.changes = new Budget(loop, changesPerSecond);
+        this.pace = pace;
+        this.changes = new Budget(loop, pace.changesPerSecond());
     }
 
     static boolean isTethered(String key) {
@@ -175,7 +194,7 @@
             }
             // The store answers at once while changes go on; a short pause gathers them and spares requests.
             if (asked.plus(BUSY_RETRY).isAfter(loop.now())) {
-                loop.after(Duration.ofMillis(10), () -> {
+                loop.after(pace.between(), () -> {
                     if (run == watchRun) {
                         watch(run, to);
                     }
@@ -273,11 +292,25 @@
 
     // Commits
 
+    /** Takes the part of the changes that a leader, or another controller, may use. */
+    public void share(boolean leading) {
+        changes.take(pace.part(leading));
+    }
+
+    /** Whether changes that could wait may be committed as well. */
+    public boolean plenty() {
+        return changes.plenty();
+    }
+
     /** Whether a draft could be committed now. */
     public boolean ready() {
         if (!entitled() || committing || loop.now().isBefore(commitNotBefore) || !changes.available()) {
             return false;
         }
+        if (view.watched() < Math.max(view.mark(memberKey()), self().equals(view.leader()) ? view.mark(Keys.LEADER) : 0)) {
+            // What a former holder of this name, or of the leadership, has placed must be known first.
+            return false;
+        }
         if (view.watched() < awaited) {
             if (awaitedSince.plus(WATCH_WAIT).isBefore(loop.now())) {
                 LOG.info("the watch does not bring revision {}; reading anew", awaited);
@@ -305,6 +338,8 @@
                         view.put(key, value, revision);
                     }
                 });
+                commitNotBefore = loop.now().plus(pace.between());
+                loop.after(pace.between(), changed);
                 callback.accept(new Result(true, Set.of()));
                 changed.run();
             } else if (outcome.unknown()) {
--- a/src/main/java/org/gullway/bookkeeping/RecordCodec.java
+++ b/src/main/java/org/gullway/bookkeeping/RecordCodec.java
@@ -5,17 +5,23 @@
 import com.fasterxml.jackson.databind.node.ObjectNode;
 import java.time.Instant;
 import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.HashSet;
 import java.util.LinkedHashSet;
 import java.util.List;
+import java.util.Map;
 import java.util.Set;
+import java.util.TreeMap;
 import org.gullway.coordination.ClosedMachines;
 import org.gullway.coordination.Draft;
+import org.gullway.coordination.GroupRecord;
 import org.gullway.coordination.Incarnation;
 import org.gullway.coordination.JobRecord;
 import org.gullway.coordination.Keys;
 import org.gullway.coordination.MachineRecord;
 import org.gullway.coordination.Placement;
 import org.gullway.coordination.Ranges;
+import org.gullway.coordination.ShareRecord;
 import org.gullway.protocol.Cbor;
 import org.gullway.protocol.Fields;
 import org.gullway.protocol.JobRequest;
@@ -31,15 +37,17 @@
         if (value instanceof JobRecord job) {
             return encode(job);
         }
-        if (value instanceof MachineRecord machine) {
-            return encode(machine);
+        if (value instanceof GroupRecord group) {
+            return encode(group);
+        }
+        if (value instanceof ShareRecord share) {
+            ObjectNode node = Cbor.map();
+            share.teams().forEach((team, amount) -> node.putArray(team).add(amount.cpus()).add(amount.cards()));
+            return node;
         }
         if (value instanceof Incarnation incarnation) {
             return encode(incarnation);
         }
-        if (value instanceof Draft.TeamTurn turn) {
-            return encode(turn.by());
-        }
         if (value instanceof Draft.Ended ended) {
             return Cbor.map().put("state", ended.state().wire()).put("tasks", ended.tasks()).put("done", ended.done());
         }
@@ -71,22 +79,38 @@
         for (int bound : job.done().bounds()) {
             done.add(bound);
         }
+        encode(job, node);
+        return node;
+    }
+
+    /** Placements of one machine and moment together; times count from the submission, which keeps them short. */
+    private static void encode(JobRecord job, ObjectNode node) {
+        Map<List<Object>, ArrayNode> byPlace = new HashMap<>();
         ArrayNode live = node.putArray("live");
+        ArrayNode stopping = null;
         for (Placement p : job.live()) {
-            live.addArray().add(p.task()).add(p.attempt()).add(p.machine()).add(p.session()).add(p.stopping())
-                    .add(p.since().toEpochMilli());
+            long since = p.since().toEpochMilli() - job.submitted().toEpochMilli();
+            byPlace.computeIfAbsent(List.of(p.machine(), p.session(), since),
+                    k -> live.addArray().add(p.machine()).add(p.session()).add(since)).add(p.task()).add(p.attempt());
+            if (p.stopping()) {
+                stopping = stopping == null ? node.putArray("stopping") : stopping;
+                stopping.add(p.task());
+            }
         }
-        return node;
     }
 
-    private static ObjectNode encode(MachineRecord machine) {
-        ObjectNode node = Cbor.map().put("name", machine.name()).put("type", machine.type())
-                .put("zone", machine.zone()).put("spot", machine.spot()).put("session", machine.session())
-                .put("epoch", machine.epoch()).put("fate", machine.fate().name())
-                .put("rented", machine.rented().toEpochMilli());
-        if (machine.up()) {
-            node.put("address", machine.address());
-            node.set("controller", encode(machine.controller()));
+    private static ObjectNode encode(GroupRecord group) {
+        ObjectNode node = Cbor.map();
+        node.set("controller", encode(group.controller()));
+        node.put("epoch", group.epoch());
+        ArrayNode machines = node.putArray("machines");
+        for (MachineRecord machine : group.machines()) {
+            ObjectNode item = machines.addObject().put("name", machine.name()).put("type", machine.type())
+                    .put("zone", machine.zone()).put("spot", machine.spot()).put("session", machine.session())
+                    .put("fate", machine.fate().name()).put("rented", machine.rented().toEpochMilli());
+            if (machine.address() != null) {
+                item.put("address", machine.address());
+            }
         }
         return node;
     }
@@ -97,15 +121,15 @@
         if (key.startsWith(Keys.JOBS)) {
             return job(fields, value);
         }
-        if (key.startsWith(Keys.MACHINES)) {
-            return machine(fields);
+        if (key.startsWith(Keys.GROUPS)) {
+            return group(key.substring(Keys.GROUPS.length()), fields);
+        }
+        if (key.startsWith(Keys.SHARES)) {
+            return share(value);
         }
         if (key.startsWith(Keys.MEMBERS) || key.equals(Keys.LEADER)) {
             return incarnation(fields);
         }
-        if (key.startsWith(Keys.TEAMS)) {
-            return new Draft.TeamTurn(incarnation(fields));
-        }
         if (key.equals(Keys.EPOCH)) {
             return fields.count("epoch");
         }
@@ -128,9 +152,17 @@
 
     private static JobRecord job(Fields fields, JsonNode value) throws MalformedException {
         List<Placement> live = new ArrayList<>();
-        for (JsonNode p : value.path("live")) {
-            live.add(new Placement(p.path(0).asInt(), p.path(1).asLong(), p.path(2).asText(), p.path(3).asLong(),
-                    p.path(4).asBoolean(), Instant.ofEpochMilli(p.path(5).asLong())));
+        Instant submitted = Instant.ofEpochMilli(fields.count("submitted"));
+        Set<Integer> stopping = new HashSet<>();
+        value.path("stopping").forEach(task -> stopping.add(task.asInt()));
+        for (JsonNode place : value.path("live")) {
+            String machine = place.path(0).asText();
+            Instant since = submitted.plusMillis(place.path(2).asLong());
+            for (int i = 3; i + 1 < place.size(); i += 2) {
+                int task = place.get(i).asInt();
+                live.add(new Placement(task, place.get(i + 1).asLong(), machine, place.path(1).asLong(),
+                        stopping.contains(task), since));
+            }
         }
         JsonNode done = value.path("done");
         int[] bounds = new int[done.size()];
@@ -144,20 +176,32 @@
             throw new MalformedException("done: " + e.getMessage());
         }
         return new JobRecord(JobRequest.parse(value.path("request")), fields.textOrNull("owner"),
-                Instant.ofEpochMilli(fields.count("submitted")), fields.flag("cancelled"), ranges,
+                submitted, fields.flag("cancelled"), ranges,
                 fields.count("attempts"), fields.countUpTo("errors", Integer.MAX_VALUE), List.copyOf(live));
     }
 
-    private static MachineRecord machine(Fields fields) throws MalformedException {
-        boolean up = fields.has("controller");
-        MachineRecord.Fate fate;
-        try {
-            fate = MachineRecord.Fate.valueOf(fields.text("fate"));
-        } catch (IllegalArgumentException e) {
-            throw new MalformedException("fate is unknown");
-        }
-        return new MachineRecord(fields.text("name"), up ? fields.text("address") : null, fields.text("type"),
-                fields.text("zone"), fields.flag("spot"), up ? incarnation(fields.inner("controller")) : null,
-                fields.count("session"), fields.count("epoch"), fate, Instant.ofEpochMilli(fields.count("rented")));
+    private static ShareRecord share(JsonNode value) {
+        Map<String, ShareRecord.Amount> teams = new TreeMap<>();
+        value.fields().forEachRemaining(e -> teams.put(e.getKey(),
+                new ShareRecord.Amount(e.getValue().path(0).asDouble(), e.getValue().path(1).asDouble())));
+        return new ShareRecord(teams);
+    }
+
+    private static GroupRecord group(String id, Fields fields) throws MalformedException {
+        Incarnation controller = incarnation(fields.inner("controller"));
+        long epoch = fields.count("epoch");
+        List<MachineRecord> machines = new ArrayList<>();
+        for (Fields item : fields.list("machines")) {
+            MachineRecord.Fate fate;
+            try {
+                fate = MachineRecord.Fate.valueOf(item.text("fate"));
+            } catch (IllegalArgumentException e) {
+                throw new MalformedException("fate is unknown");
+            }
+            machines.add(new MachineRecord(item.text("name"), item.textOrNull("address"), item.text("type"),
+                    item.text("zone"), item.flag("spot"), controller, item.count("session"), epoch, fate,
+                    Instant.ofEpochMilli(item.count("rented"))));
+        }
+        return new GroupRecord(id, controller, epoch, List.copyOf(machines));
     }
 }
--- a/src/main/java/org/gullway/coordination/BestEffortQueue.java
+++ b/src/main/java/org/gullway/coordination/BestEffortQueue.java
@@ -2,16 +2,21 @@
 
 import java.time.Duration;
 import java.time.Instant;
+import java.util.ArrayDeque;
 import java.util.ArrayList;
 import java.util.Collection;
 import java.util.Comparator;
+import java.util.Deque;
 import java.util.HashMap;
-import java.util.Iterator;
+import java.util.HashSet;
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.Set;
+import java.util.TreeMap;
 import java.util.function.Predicate;
 import java.util.random.RandomGenerator;
+import org.gullway.protocol.MachineType;
 import org.gullway.protocol.Offer;
 
 /**
@@ -19,8 +24,10 @@
  * teams taking equal turns; room that fits nothing here is offered to a peer chosen at random.
  */
 public final class BestEffortQueue {
-    /** The same machine's room is not offered to peers more often than this. */
+    /** The same machine's room is not offered to peers more often than this, and peers get their offers together. */
     private static final Duration OFFER_PAUSE = Duration.ofMillis(500);
+    /** A job that has not begun by then gets one task before all others, and room is gathered for it. */
+    private static final Duration LONGEST_UNBEGUN = Duration.ofSeconds(60);
 
     private final ClusterView view;
     private final Placing placing;
@@ -31,14 +38,56 @@
     private final RandomGenerator random;
     private final List<String> turns = new ArrayList<>();
     private final Map<String, Foreign> foreign = new HashMap<>();
-    private final Map<String, Instant> offered = new HashMap<>();
+    private Instant offeredAt = Instant.MIN;
 
     /** Room of a peer's machine that was offered here. */
     private record Foreign(Offer offer, Instant until) {
     }
 
-    /** An offer on its way to a peer. */
-    public record Outgoing(String peer, Offer offer) {
+    /** Offers on their way to a peer. */
+    public record Outgoing(String peer, List<Offer> offers) {
+    }
+
+    /** One job's tasks that are about to be placed; candidates are looked up once. */
+    private final class Pull {
+        private final JobRecord job;
+        private final Draft draft;
+        private final Collection<MachineRecord> room;
+        private final List<MachineRecord> planned = new ArrayList<>();
+        private int left;
+
+        Pull(JobRecord job, Draft draft, Collection<MachineRecord> room, int most) {
+            this.job = job;
+            this.draft = draft;
+            this.room = room;
+            this.left = Math.min(most, Math.min(job.waiting(), draft.canPlace(job)));
+        }
+
+        /** Plans one more task; false if none fits any more. */
+        boolean pull() {
+            if (left == 0 || planned.isEmpty() && draft.canPlace(job) == 0 || placing.withinShare(job, draft) == 0) {
+                return false;
+            }
+            MachineRecord last = planned.isEmpty() ? null : planned.get(planned.size() - 1);
+            List<MachineRecord> taken = List.of();
+            if (last != null && !job.request().oneZone() && !job.request().spread()) {
+                // The machine chosen last is the fullest until it has no more room.
+                taken = placing.take(job, 1, List.of(last), draft, view);
+            }
+            if (taken.isEmpty()) {
+                taken = placing.take(job, 1, room, draft, view);
+            }
+            if (taken.isEmpty()) {
+                return false;
+            }
+            if (planned.isEmpty()) {
+                // From here on the job is in the commit, so that what is planned for it surely fits.
+                draft.putJob(job);
+            }
+            planned.addAll(taken);
+            left--;
+            return true;
+        }
     }
 
     public BestEffortQueue(ClusterView view, Placing placing, JobPauses pauses, Urgency urgency, String self,
@@ -52,8 +101,8 @@
         this.random = random;
     }
 
-    public void offered(Offer offer, Instant now) {
-        foreign.put(offer.machine(), new Foreign(offer, now.plus(offerLife)));
+    public void offered(List<Offer> offers, Instant now) {
+        offers.forEach(offer -> foreign.put(offer.machine(), new Foreign(offer, now.plus(offerLife))));
     }
 
     /** Fills the given machines, whose workers report here, and the room offered by peers. */
@@ -69,12 +118,18 @@
                 }
             }
         }
+        if (mine.isEmpty() && (!othersWait || offeredAt.plus(OFFER_PAUSE).isAfter(now))) {
+            foreign.clear();
+            return List.of();
+        }
         mine.sort(Comparator.<JobRecord, org.gullway.protocol.Rank>comparing(j -> j.request().rank())
                 .thenComparing(urgency::due)
                 .thenComparing(j -> j.request().id()));
         Map<MachineRecord, Offer> room = new LinkedHashMap<>();
         for (MachineRecord machine : own) {
-            room.put(machine, new Offer(machine.name(), machine.session(), List.of()));
+            if (placing.freeCpus(machine, draft) > 0) {
+                room.put(machine, new Offer(machine.name(), machine.session(), List.of()));
+            }
         }
         for (Foreign each : foreign.values()) {
             MachineRecord machine = view.machine(each.offer().machine());
@@ -85,72 +140,114 @@
         }
         foreign.clear();
         room.keySet().removeIf(machine -> view.closed().contains(machine.name()));
+        fillAll(draft, room, mine);
+        return othersWait ? offers(draft, room, now) : List.of();
+    }
+
+    private void fillAll(Draft draft, Map<MachineRecord, Offer> room, List<JobRecord> mine) {
+        if (mine.isEmpty() || room.isEmpty()) {
+            return;
+        }
+        // Turns by due time alone would let small jobs fill every gap for ever before a job of large tasks.
+        List<JobRecord> unbegun = mine.stream().filter(job -> job.live().isEmpty() && job.done().size() == 0
+                && job.submitted().plus(LONGEST_UNBEGUN).isBefore(draft.timeOfDay())).toList();
+        fill(draft, room.keySet(), unbegun, 1);
+        gather(draft, room, unbegun);
         // A team within its guarantee need not wait for others: its jobs have their turns first.
         Guarantees guarantees = Guarantees.of(view, placing);
         Predicate<JobRecord> late = job -> urgency.tooLate(job, draft.timeOfDay());
-        fill(draft, room.keySet(), mine.stream().filter(late.negate().and(guarantees::holdFor)).toList());
-        fill(draft, room.keySet(), mine.stream().filter(late.negate()).toList());
-        fill(draft, room.keySet(), mine);
-        List<Outgoing> outgoing = new ArrayList<>();
-        if (othersWait) {
-            room.forEach((machine, offer) -> {
-                if (placing.freeCpus(machine, draft) >= 1) {
-                    List<String> asked = new ArrayList<>(offer.askedAlready());
-                    asked.add(self);
-                    passOn(new Offer(machine.name(), machine.session(), asked), now, outgoing);
-                }
-            });
+        fill(draft, room.keySet(), mine.stream().filter(late.negate().and(guarantees::holdFor)).toList(),
+                Integer.MAX_VALUE);
+        fill(draft, room.keySet(), mine.stream().filter(late.negate()).toList(), Integer.MAX_VALUE);
+        fill(draft, room.keySet(), mine, Integer.MAX_VALUE);
+    }
+
+    /** Keeps one machine free for each job that found no room though it waited long: what ends there is not refilled. */
+    private void gather(Draft draft, Map<MachineRecord, Offer> room, List<JobRecord> unbegun) {
+        Set<String> teams = new HashSet<>();
+        for (JobRecord known : unbegun) {
+            JobRecord job = draft.job(known.request().id());
+            if (job == null || !job.live().isEmpty() || placing.withinShare(job, draft) == 0
+                    || !teams.add(job.request().team())) {
+                continue;
+            }
+            room.keySet().stream()
+                    .filter(machine -> {
+                        MachineType type = placing.types().get(machine.type());
+                        return type != null && type.fits(job.request()) && placing.allowed(job, machine, view);
+                    })
+                    .max(Comparator.<MachineRecord>comparingDouble(m -> placing.freeCpus(m, draft))
+                            .thenComparing(MachineRecord::name))
+                    .ifPresent(room::remove);
         }
-        return outgoing;
     }
 
-    /** Starts tasks in equal turns of the teams until nothing more fits. */
-    private void fill(Draft draft, Collection<MachineRecord> room, List<JobRecord> mine) {
-        List<JobRecord> left = new ArrayList<>(mine);
-        while (true) {
-            JobRecord next = null;
-            int nextTurn = Integer.MAX_VALUE;
-            MachineRecord machine = null;
-            for (Iterator<JobRecord> it = left.iterator(); it.hasNext();) {
-                JobRecord job = draft.job(it.next().request().id());
-                int turn = job == null ? 0 : turns.indexOf(job.request().team());
-                if (turn >= nextTurn) {
-                    continue;
-                }
-                MachineRecord best = job == null || job.waiting() == 0 || !placing.withinLimit(job.request(), draft)
-                        || !draft.canPlace(job) ? null : placing.best(job, room, draft, view);
-                if (best == null) {
-                    it.remove();
-                } else {
-                    next = job;
-                    nextTurn = turn;
-                    machine = best;
-                }
+    /** Starts tasks in equal turns of the teams until nothing more fits, at most so many of each job. */
+    private void fill(Draft draft, Collection<MachineRecord> room, List<JobRecord> jobs, int mostEach) {
+        Map<String, Deque<JobRecord>> waiting = new TreeMap<>();
+        for (JobRecord known : jobs) {
+            JobRecord job = draft.job(known.request().id());
+            if (job != null && job.waiting() > 0) {
+                waiting.computeIfAbsent(job.request().team(), t -> new ArrayDeque<>()).add(job);
             }
-            if (next == null) {
-                return;
+        }
+        waiting.keySet().stream().filter(team -> !turns.contains(team)).forEach(team -> turns.add(0, team));
+        Map<String, Pull> pulls = new LinkedHashMap<>();
+        boolean any = true;
+        while (any) {
+            any = false;
+            for (String team : List.copyOf(turns)) {
+                if (turn(draft, room, waiting.get(team), pulls, mostEach)) {
+                    any = true;
+                    turns.remove(team);
+                    turns.add(team);
+                }
             }
-            draft.place(next, next.nextWaiting(), machine);
-            turns.remove(next.request().team());
-            turns.add(next.request().team());
         }
     }
 
-    private void passOn(Offer offer, Instant now, List<Outgoing> outgoing) {
-        Instant last = offered.get(offer.machine());
-        if (last != null && now.isBefore(last.plus(OFFER_PAUSE))) {
-            return;
-        }
-        List<String> peers = new ArrayList<>(view.members().keySet());
-        peers.remove(self);
-        peers.removeAll(offer.askedAlready());
-        if (!peers.isEmpty()) {
-            offered.put(offer.machine(), now);
-            outgoing.add(new Outgoing(peers.get(random.nextInt(peers.size())), offer));
+    /** One team's turn: one task of its first job that fits. */
+    private boolean turn(Draft draft, Collection<MachineRecord> room, Deque<JobRecord> jobs, Map<String, Pull> pulls,
+                         int mostEach) {
+        while (jobs != null && !jobs.isEmpty()) {
+            JobRecord job = jobs.peek();
+            Pull pull = pulls.computeIfAbsent(job.request().id(), id -> new Pull(job, draft, room, mostEach));
+            if (pull.pull()) {
+                return true;
+            }
+            if (!pull.planned.isEmpty()) {
+                draft.place(pull.job, pull.planned);
+            }
+            jobs.poll();
         }
+        return false;
     }
 
-    public void keepOnly(ClusterView known) {
-        offered.keySet().removeIf(name -> known.machine(name) == null);
+    private List<Outgoing> offers(Draft draft, Map<MachineRecord, Offer> room, Instant now) {
+        if (offeredAt.plus(OFFER_PAUSE).isAfter(now)) {
+            return List.of();
+        }
+        Map<String, List<Offer>> byPeer = new TreeMap<>();
+        room.forEach((machine, offer) -> {
+            if (placing.freeCpus(machine, draft) < 1) {
+                return;
+            }
+            List<String> asked = new ArrayList<>(offer.askedAlready());
+            asked.add(self);
+            List<String> peers = new ArrayList<>(view.members().keySet());
+            peers.removeAll(asked);
+            if (!peers.isEmpty()) {
+                List<Offer> list = byPeer.computeIfAbsent(peers.get(random.nextInt(peers.size())), p -> new ArrayList<>());
+                if (list.size() < Offer.MOST_TOGETHER) {
+                    list.add(new Offer(machine.name(), machine.session(), asked));
+                }
+            }
+        });
+        if (!byPeer.isEmpty()) {
+            offeredAt = now;
+        }
+        List<Outgoing> outgoing = new ArrayList<>();
+        byPeer.forEach((peer, list) -> outgoing.add(new Outgoing(peer, list)));
+        return outgoing;
     }
 }
--- a/src/main/java/org/gullway/coordination/ClosedMachines.java
+++ b/src/main/java/org/gullway/coordination/ClosedMachines.java
@@ -2,6 +2,8 @@
 
 import java.util.Set;
 
-/** The machines that the leader has marked while reserved work waits. */
+/** Machines on which no best-effort task starts while reserved work waits. */
 public record ClosedMachines(Set<String> names) {
+    /** As many as surely fit into one value of the state store. */
+    public static final int MOST = 200;
 }
--- a/src/main/java/org/gullway/coordination/ClusterView.java
+++ b/src/main/java/org/gullway/coordination/ClusterView.java
@@ -4,6 +4,7 @@
 import java.util.HashMap;
 import java.util.HashSet;
 import java.util.Map;
+import java.util.Objects;
 import java.util.Set;
 import java.util.TreeMap;
 import org.gullway.protocol.JobRequest;
@@ -45,10 +46,16 @@
 
     private final Map<String, Long> marks = new HashMap<>();
     private final Map<String, JobRecord> jobs = new TreeMap<>();
+    private final Map<String, GroupRecord> groups = new TreeMap<>();
     private final Map<String, MachineRecord> machines = new TreeMap<>();
+    private final Map<String, String> groupOf = new HashMap<>();
+    private final Map<String, ShareRecord> shares = new TreeMap<>();
     private final Map<String, Incarnation> members = new TreeMap<>();
     private final Map<String, Room> machineUse = new HashMap<>();
-    private final Map<String, Room> teamUse = new HashMap<>();
+    /** By share and team. */
+    private final Map<String, Map<String, Room>> shareUse = new HashMap<>();
+    /** Machines whose records or placements have changed since that was last asked. */
+    private final Set<String> touched = new HashSet<>();
     private final Map<String, Map<AttemptId, Placement>> onMachine = new HashMap<>();
     private final Map<String, Set<String>> images = new HashMap<>();
     /** Removals that the watch has not reached yet, so that an earlier put it still brings does not undo them. */
@@ -62,10 +69,14 @@
     public void clear() {
         marks.clear();
         jobs.clear();
+        groups.clear();
+        touched.addAll(machines.keySet());
         machines.clear();
+        groupOf.clear();
+        shares.clear();
         members.clear();
         machineUse.clear();
-        teamUse.clear();
+        shareUse.clear();
         onMachine.clear();
         images.clear();
         removed.clear();
@@ -83,8 +94,10 @@
         marks.put(key, mark);
         if (value instanceof JobRecord job) {
             replaceJob(job.request().id(), job);
-        } else if (value instanceof MachineRecord machine) {
-            machines.put(machine.name(), machine);
+        } else if (value instanceof GroupRecord group) {
+            replaceGroup(group.id(), group);
+        } else if (value instanceof ShareRecord share) {
+            shares.put(key, share);
         } else if (key.startsWith(Keys.MEMBERS)) {
             members.put(key.substring(Keys.MEMBERS.length()), (Incarnation) value);
         } else if (key.equals(Keys.LEADER)) {
@@ -108,10 +121,10 @@
         }
         if (key.startsWith(Keys.JOBS)) {
             replaceJob(key.substring(Keys.JOBS.length()), null);
-        } else if (key.startsWith(Keys.MACHINES)) {
-            String name = key.substring(Keys.MACHINES.length());
-            machines.remove(name);
-            images.remove(name);
+        } else if (key.startsWith(Keys.GROUPS)) {
+            replaceGroup(key.substring(Keys.GROUPS.length()), null);
+        } else if (key.startsWith(Keys.SHARES)) {
+            shares.remove(key);
         } else if (key.startsWith(Keys.MEMBERS)) {
             members.remove(key.substring(Keys.MEMBERS.length()));
         } else if (key.equals(Keys.LEADER)) {
@@ -122,31 +135,79 @@
         return true;
     }
 
+    private void replaceGroup(String id, GroupRecord next) {
+        GroupRecord before = next == null ? groups.remove(id) : groups.put(id, next);
+        if (before != null) {
+            for (MachineRecord machine : before.machines()) {
+                if (id.equals(groupOf.get(machine.name()))) {
+                    machines.remove(machine.name());
+                    groupOf.remove(machine.name());
+                    touched.add(machine.name());
+                }
+            }
+        }
+        if (next != null) {
+            for (MachineRecord machine : next.machines()) {
+                machines.put(machine.name(), machine);
+                groupOf.put(machine.name(), id);
+                touched.add(machine.name());
+            }
+        }
+        if (before != null) {
+            before.machines().stream().map(MachineRecord::name).filter(name -> !machines.containsKey(name))
+                    .forEach(images::remove);
+        }
+    }
+
+    /** Only what differs is counted anew: most changes of a record leave most of its placements as they are. */
     private void replaceJob(String id, JobRecord next) {
         JobRecord before = next == null ? jobs.remove(id) : jobs.put(id, next);
+        boolean sameShare = before != null && next != null && Objects.equals(before.owner(), next.owner())
+                && before.cancelled() == next.cancelled();
+        Set<Placement> kept = Set.of();
+        if (sameShare && !before.live().isEmpty()) {
+            kept = new HashSet<>(before.live());
+            kept.retainAll(new HashSet<>(next.live()));
+        }
         if (before != null) {
-            count(before, -1);
+            count(before, kept, -1);
         }
         if (next != null) {
-            count(next, 1);
+            count(next, kept, 1);
         }
     }
 
-    private void count(JobRecord job, int sign) {
+    private void count(JobRecord job, Set<Placement> except, int sign) {
         JobRequest request = job.request();
         for (Placement placement : job.live()) {
+            if (except.contains(placement)) {
+                continue;
+            }
+            touched.add(placement.machine());
             machineUse.computeIfAbsent(placement.machine(), m -> new Room()).add(request, sign);
-            teamUse.computeIfAbsent(request.team(), t -> new Room()).add(request, sign);
+            shareUse.computeIfAbsent(Keys.shareOf(job), s -> new HashMap<>())
+                    .computeIfAbsent(request.team(), t -> new Room()).add(request, sign);
             Map<AttemptId, Placement> there = onMachine.computeIfAbsent(placement.machine(), m -> new HashMap<>());
             if (sign > 0) {
                 there.put(AttemptId.of(job, placement), placement);
                 images.computeIfAbsent(placement.machine(), m -> new HashSet<>()).add(request.image());
             } else {
                 there.remove(AttemptId.of(job, placement));
+                if (there.isEmpty()) {
+                    onMachine.remove(placement.machine());
+                    machineUse.remove(placement.machine());
+                }
             }
         }
     }
 
+    /** Machines whose records or placements have changed since the last call. */
+    public Set<String> drainTouched() {
+        Set<String> drained = new HashSet<>(touched);
+        touched.clear();
+        return drained;
+    }
+
     public long mark(String key) {
         return marks.getOrDefault(key, 0L);
     }
@@ -167,6 +228,30 @@
         return machines.get(name);
     }
 
+    public Collection<GroupRecord> groups() {
+        return groups.values();
+    }
+
+    public GroupRecord group(String id) {
+        return groups.get(id);
+    }
+
+    /** The group that the machine belongs to, or null. */
+    public String groupOf(String machine) {
+        return groupOf.get(machine);
+    }
+
+    /** Mark of the record that holds the machine. */
+    public long machineMark(String machine) {
+        String group = groupOf.get(machine);
+        return group == null ? 0 : mark(Keys.group(group));
+    }
+
+    /** All shares by their keys. */
+    public Map<String, ShareRecord> shares() {
+        return shares;
+    }
+
     public Map<String, Incarnation> members() {
         return members;
     }
@@ -192,8 +277,14 @@
         return machineUse.getOrDefault(machine, new Room());
     }
 
-    public Room usedBy(String team) {
-        return teamUse.getOrDefault(team, new Room());
+    /** What a team's tasks take of one share. */
+    public Room usedOf(String share, String team) {
+        return shareUse.getOrDefault(share, Map.of()).getOrDefault(team, new Room());
+    }
+
+    /** What a team's tasks take of all shares. */
+    public double cpusUsedBy(String team) {
+        return shareUse.values().stream().mapToDouble(use -> use.containsKey(team) ? use.get(team).cpus : 0).sum();
     }
 
     /** Whether the image was already fetched there for an earlier task, as far as the records show. */
--- a/src/main/java/org/gullway/coordination/Draft.java
+++ b/src/main/java/org/gullway/coordination/Draft.java
@@ -4,6 +4,7 @@
 import java.util.HashMap;
 import java.util.LinkedHashMap;
 import java.util.LinkedHashSet;
+import java.util.List;
 import java.util.Map;
 import java.util.Set;
 import org.gullway.coordination.ClusterView.Room;
@@ -16,16 +17,16 @@
  * One commit in the making. Every key that it changes or relies on is guarded by the mark under which this
  * controller knows it, and the whole by the controller's membership, so that a commit that comes late, or from a
  * controller that has been given up, changes nothing.
+ *
+ * <p>A placement guards the job but not the machine: a machine that is gone, or in a newer session, never gets the
+ * start, and the placement is taken back. It does not guard the use of the team either: only the holder of a share
+ * places on it, and it has one commit on its way at a time.
  */
 public final class Draft {
     /** The final state of a job, as it is kept under {@link Keys#ended}. */
     public record Ended(JobState state, int tasks, int done) {
     }
 
-    /** A team's key holds the last writer; only its mark matters, which orders the placements of the team. */
-    public record TeamTurn(Incarnation by) {
-    }
-
     /** Limits of one commit of the state store. */
     public record Limits(int changes, int valueBytes) {
         private static final int COMMIT_BYTES = 48 * 1024;
@@ -37,6 +38,7 @@
 
     private static final Logger LOG = LoggerFactory.getLogger(Draft.class);
     private static final int OTHER_BYTES = 300;
+    private static final int MACHINE_BYTES = 120;
 
     private final ClusterView view;
     private final Incarnation self;
@@ -45,7 +47,8 @@
     private final Map<String, Object> changes = new LinkedHashMap<>();
     private final Set<String> guards = new LinkedHashSet<>();
     private final Map<String, Room> machineExtra = new HashMap<>();
-    private final Map<String, Room> teamExtra = new HashMap<>();
+    /** By share and team. */
+    private final Map<String, Room> shareExtra = new HashMap<>();
     private int bytes;
 
     public Draft(ClusterView view, Incarnation self, Limits limits, Instant timeOfDay) {
@@ -56,17 +59,6 @@
         guards.add(Keys.member(self.node()));
     }
 
-    /** A draft of the same content that can be changed apart from this one. */
-    Draft copy() {
-        Draft copy = new Draft(view, self, limits, timeOfDay);
-        copy.changes.putAll(changes);
-        copy.guards.addAll(guards);
-        machineExtra.forEach((name, room) -> copy.machineExtra.put(name, room.copy()));
-        teamExtra.forEach((name, room) -> copy.teamExtra.put(name, room.copy()));
-        copy.bytes = bytes;
-        return copy;
-    }
-
     public Instant timeOfDay() {
         return timeOfDay;
     }
@@ -97,14 +89,21 @@
 
     public void put(String key, Object value) {
         guards.add(key);
-        if (!changes.containsKey(key)) {
-            bytes += value instanceof JobRecord job ? job.bytes() : OTHER_BYTES;
-        }
+        bytes += size(value) - size(changes.get(key));
         changes.put(key, value);
     }
 
+    private static int size(Object value) {
+        if (value instanceof JobRecord job) {
+            return job.bytes();
+        }
+        return value == null ? 0 : value instanceof GroupRecord group
+                ? OTHER_BYTES + group.machines().size() * MACHINE_BYTES : OTHER_BYTES;
+    }
+
     public void remove(String key) {
         guards.add(key);
+        bytes -= size(changes.get(key));
         changes.put(key, null);
     }
 
@@ -114,6 +113,11 @@
         return changes.containsKey(key) ? (JobRecord) changes.get(key) : view.job(id);
     }
 
+    /** Whether a change of the job still fits, given that it may end and so change two keys. */
+    public boolean canPutJob(String id) {
+        return hasRoomFor(changes.containsKey(Keys.job(id)) ? 1 : 2);
+    }
+
     /** Records the job; one that is over moves to where final states are kept. */
     public void putJob(JobRecord job) {
         String id = job.request().id();
@@ -130,9 +134,46 @@
         }
     }
 
+    public GroupRecord group(String id) {
+        String key = Keys.group(id);
+        return changes.containsKey(key) ? (GroupRecord) changes.get(key) : view.group(id);
+    }
+
+    public void putGroup(GroupRecord group) {
+        if (group.machines().isEmpty()) {
+            remove(Keys.group(group.id()));
+        } else {
+            put(Keys.group(group.id()), group);
+        }
+    }
+
+    /** The machine as this commit leaves it, or null. */
     public MachineRecord machine(String name) {
-        String key = Keys.machine(name);
-        return changes.containsKey(key) ? (MachineRecord) changes.get(key) : view.machine(name);
+        String id = view.groupOf(name);
+        GroupRecord group = id == null ? null : group(id);
+        if (group != null) {
+            for (MachineRecord machine : group.machines()) {
+                if (machine.name().equals(name)) {
+                    return machine;
+                }
+            }
+        }
+        return null;
+    }
+
+    /** Whether a change of this machine's record still fits. */
+    public boolean canPutMachine(String name) {
+        String id = view.groupOf(name);
+        return id != null && (changes.containsKey(Keys.group(id)) || hasRoomFor(1));
+    }
+
+    /** Changes a machine that is on record. */
+    public void putMachine(MachineRecord machine) {
+        putGroup(group(view.groupOf(machine.name())).with(machine));
+    }
+
+    public void removeMachine(String name) {
+        putGroup(group(view.groupOf(name)).without(name));
     }
 
     public long epoch() {
@@ -160,33 +201,65 @@
         return view.usedOn(machine).cards + extra(machineExtra, machine).cards;
     }
 
-    public double cpusUsedBy(String team) {
-        return view.usedBy(team).cpus + extra(teamExtra, team).cpus;
+    /** A share as this commit leaves it. */
+    public ShareRecord share(String key) {
+        Object drafted = changes.get(key);
+        return drafted != null ? (ShareRecord) drafted : view.shares().getOrDefault(key, ShareRecord.EMPTY);
     }
 
-    public double cardsUsedBy(String team) {
-        return view.usedBy(team).cards + extra(teamExtra, team).cards;
+    public double cpusUsedOf(String share, String team) {
+        return view.usedOf(share, team).cpus + extra(shareExtra, share + '\n' + team).cpus;
     }
 
+    public double cardsUsedOf(String share, String team) {
+        return view.usedOf(share, team).cards + extra(shareExtra, share + '\n' + team).cards;
+    }
+
+    private static final Room NONE = new Room();
+
     private static Room extra(Map<String, Room> extras, String name) {
-        return extras.computeIfAbsent(name, n -> new Room());
+        return extras.getOrDefault(name, NONE);
+    }
+
+    /** How many more attempts of this job fit into this commit and the job's record. */
+    public int canPlace(JobRecord job) {
+        String key = Keys.job(job.request().id());
+        if (!changes.containsKey(key) && !hasRoomFor(1) || bytes >= Limits.COMMIT_BYTES) {
+            return 0;
+        }
+        return job.roomFor(limits.valueBytes());
+    }
+
+    /** Counts the room of one more task, whose placement is to be recorded in this commit. */
+    void take(JobRecord job, MachineRecord machine) {
+        count(machineExtra, machine.name(), job.request(), 1);
+        count(shareExtra, Keys.shareOf(job) + '\n' + job.request().team(), job.request(), 1);
     }
 
-    /** Whether a placement of this job still fits into this commit and the job's record. */
-    public boolean canPlace(JobRecord job) {
-        int more = changes.containsKey(Keys.job(job.request().id())) ? 1 : 2;
-        return hasRoomFor(more) && job.bytes() + JobRecord.PLACEMENT_BYTES <= limits.valueBytes();
+    /** Gives back what was taken for a task that is not placed after all. */
+    void untake(JobRecord job, MachineRecord machine) {
+        count(machineExtra, machine.name(), job.request(), -1);
+        count(shareExtra, Keys.shareOf(job) + '\n' + job.request().team(), job.request(), -1);
     }
 
-    /** Places one task; the machine's session, the team's use and the job are all guarded. */
-    public void place(JobRecord job, int task, MachineRecord machine) {
-        JobRequest request = job.request();
-        LOG.debug("{}/{}#{} of {} goes to {} (image {})", request.id(), task, job.attempts() + 1, request.jobClass(),
-                machine.name(), view.hasImage(machine.name(), request.image()));
-        putJob(job.placed(task, machine.name(), machine.session(), timeOfDay));
-        rely(Keys.machine(machine.name()));
-        put(Keys.team(request.team()), new TeamTurn(self));
-        extra(machineExtra, machine.name()).add(request, 1);
-        extra(teamExtra, request.team()).add(request, 1);
+    /** The job's tasks count for another share from this commit on. */
+    void moveUse(JobRecord job, String to) {
+        for (int i = job.live().size(); i > 0; i--) {
+            count(shareExtra, Keys.shareOf(job) + '\n' + job.request().team(), job.request(), -1);
+            count(shareExtra, to + '\n' + job.request().team(), job.request(), 1);
+        }
+    }
+
+    private static void count(Map<String, Room> extras, String name, JobRequest request, int sign) {
+        extras.computeIfAbsent(name, n -> new Room()).add(request, sign);
+    }
+
+    /** Places one task on each of these machines, on which room was taken before. */
+    void place(JobRecord job, List<MachineRecord> machines) {
+        if (LOG.isDebugEnabled()) {
+            LOG.debug("{} of {}: {} tasks from attempt {} on go to {}", job.request().id(), job.request().jobClass(),
+                    machines.size(), job.attempts() + 1, machines.stream().map(MachineRecord::name).toList());
+        }
+        putJob(job.placed(machines, timeOfDay));
     }
 }
--- /dev/null
+++ b/src/main/java/org/gullway/coordination/EndedAttempts.java
@@ -0,0 +1,87 @@
+package org.gullway.coordination;
+
+import java.time.Duration;
+import java.time.Instant;
+import java.util.HashMap;
+import java.util.Iterator;
+import java.util.Map;
+import org.gullway.coordination.JobRecord.End;
+
+/**
+ * Attempts that have certainly ended and whose ends are not on record yet. The keeper of a job (its owner, or the
+ * leader) records the ends of all its tasks, so that one writer changes a record and one change holds many ends.
+ */
+public final class EndedAttempts {
+    /** Pollers are promised a finished job within 3 s; the ends of a job that goes on may wait until room is needed. */
+    private static final Duration LONGEST_KEPT = Duration.ofMillis(2500);
+
+    private final ClusterView view;
+    private final Map<String, Waiting> byJob = new HashMap<>();
+
+    private static final class Waiting {
+        private final Instant since;
+        private final Map<AttemptId, End> ends = new HashMap<>();
+
+        Waiting(Instant since) {
+            this.since = since;
+        }
+    }
+
+    public EndedAttempts(ClusterView view) {
+        this.view = view;
+    }
+
+    public void add(AttemptId attempt, End end, Instant now) {
+        JobRecord job = view.job(attempt.task().job());
+        if (job != null) {
+            byJob.computeIfAbsent(attempt.task().job(), j -> new Waiting(now)).ends.put(attempt, end);
+        }
+    }
+
+    public boolean contains(AttemptId attempt) {
+        Waiting waiting = byJob.get(attempt.task().job());
+        return waiting != null && waiting.ends.containsKey(attempt);
+    }
+
+    /** Records ends of jobs that are over with them or have waited long; all others if changes are plentiful. */
+    public void propose(Draft draft, boolean plenty, Instant now) {
+        for (Iterator<Map.Entry<String, Waiting>> it = byJob.entrySet().iterator(); it.hasNext();) {
+            Map.Entry<String, Waiting> entry = it.next();
+            JobRecord known = view.job(entry.getKey());
+            Map<Placement, End> ends = known == null ? Map.of() : current(known, entry.getValue().ends);
+            if (ends.isEmpty()) {
+                it.remove();
+                continue;
+            }
+            JobRecord job = draft.job(entry.getKey());
+            boolean due = plenty || job == null || job.cancelled() || job.done().size() + ends.size() >= job.request().tasks()
+                    || entry.getValue().since.plus(LONGEST_KEPT).isBefore(now);
+            if (job != null && due && draft.canPutJob(entry.getKey())) {
+                draft.putJob(job.ended(current(job, entry.getValue().ends)));
+            }
+        }
+    }
+
+    /** Adds what is known to the records that this commit changes anyway. */
+    public void join(Draft draft) {
+        byJob.forEach((id, waiting) -> {
+            if (draft.changes().get(Keys.job(id)) instanceof JobRecord job && draft.hasRoomFor(1)) {
+                Map<Placement, End> ends = current(job, waiting.ends);
+                if (!ends.isEmpty()) {
+                    draft.putJob(job.ended(ends));
+                }
+            }
+        });
+    }
+
+    private static Map<Placement, End> current(JobRecord job, Map<AttemptId, End> ends) {
+        Map<Placement, End> current = new HashMap<>();
+        for (Placement placement : job.live()) {
+            End end = ends.get(AttemptId.of(job, placement));
+            if (end != null) {
+                current.put(placement, end);
+            }
+        }
+        return current;
+    }
+}
--- a/src/main/java/org/gullway/coordination/FleetPlan.java
+++ b/src/main/java/org/gullway/coordination/FleetPlan.java
@@ -23,7 +23,9 @@
  * been idle for long, beyond the room kept for urgent work, are returned.
  */
 public final class FleetPlan {
-    private static final int MOST_TASKS_LAID_OUT = 400;
+    private static final int MOST_TASKS_LAID_OUT = 20_000;
+    /** Sizing looks at the whole fleet; machines take far longer to come up. */
+    private static final Duration PLAN_EVERY = Duration.ofMillis(500);
     private static final Duration BURST_MEMORY = Duration.ofMinutes(1);
     private static final Duration BURST_HALF_LIFE = Duration.ofSeconds(90);
     private static final Duration NO_CAPACITY_PAUSE = Duration.ofSeconds(10);
@@ -71,6 +73,8 @@
     private final ClusterView view;
     private final Placing placing;
     private final Policy policy;
+    private Instant plannedAt = Instant.MIN;
+    private Instant proposedAt = Instant.MIN;
     private final Map<Offering, Instant> exhausted = new HashMap<>();
     private final Map<String, Instant> idleSince = new HashMap<>();
     /** Urgent jobs that were counted for the size of a burst already. */
@@ -137,18 +141,25 @@
                 : Math.pow(0.5, Duration.between(burstAt, now).toMillis() / (double) BURST_HALF_LIFE.toMillis());
     }
 
-    /** What to rent now. */
+    /** What to rent now, each at most as many as one request may ask for. */
     public List<Rental> rentals(Instant now) {
+        if (plannedAt.plus(PLAN_EVERY).isAfter(now)) {
+            return List.of();
+        }
+        plannedAt = now;
         List<Slot> slots = new ArrayList<>();
         for (MachineRecord machine : view.machines()) {
             MachineType type = placing.types().get(machine.type());
             if (type != null && machine.fate() == Fate.STAYS) {
                 ClusterView.Room used = view.usedOn(machine.name());
-                slots.add(new Slot(new Offering(type, machine.zone(), machine.spot()),
-                        type.cpus() - used.cpus, type.cards() - used.cards, type.memoryGb() - used.memoryGb));
+                if (used.cpus < type.cpus()) {
+                    slots.add(new Slot(new Offering(type, machine.zone(), machine.spot()),
+                            type.cpus() - used.cpus, type.cards() - used.cards, type.memoryGb() - used.memoryGb));
+                }
             }
         }
         List<Offering> offerings = offerings(now);
+        Map<Offering, Integer> counts = new LinkedHashMap<>();
         List<Slot> rented = new ArrayList<>();
         int laidOut = 0;
         JobRequest sample = null;
@@ -160,42 +171,33 @@
                 sample = request;
                 reservedUse += job.unfinished() * request.cpus();
             }
-            for (int i = job.waiting(); i > 0 && laidOut < MOST_TASKS_LAID_OUT; i--) {
-                double room = teamRoom.getOrDefault(request.team(), 0.0);
-                if (room < request.cpus() || !layOut(request, slots, rented, offerings)) {
-                    break;
-                }
-                teamRoom.put(request.team(), room - request.cpus());
-                laidOut++;
+            double room = teamRoom.getOrDefault(request.team(), 0.0);
+            int tasks = (int) Math.min(Math.min(job.waiting(), MOST_TASKS_LAID_OUT - laidOut), room / request.cpus() + 1e-6);
+            if (tasks > 0) {
+                int laid = layOut(request, tasks, slots, rented, offerings);
+                teamRoom.put(request.team(), room - laid * request.cpus());
+                laidOut += laid;
             }
         }
         if (sample != null) {
-            double spare = spareWanted(reservedUse, now);
-            for (double laid = 0; laid < spare && laidOut < MOST_TASKS_LAID_OUT; laid += sample.cpus()) {
-                if (!layOut(sample, slots, rented, offerings)) {
-                    break;
-                }
-                laidOut++;
-            }
+            int spare = (int) Math.ceil(spareWanted(reservedUse, now) / sample.cpus());
+            layOut(sample, Math.min(spare, MOST_TASKS_LAID_OUT - laidOut), slots, rented, offerings);
         }
-        Map<Offering, Integer> counts = new LinkedHashMap<>();
         rented.forEach(slot -> counts.merge(slot.offering, 1, Integer::sum));
         List<Rental> rentals = new ArrayList<>();
-        counts.forEach((o, n) -> rentals.add(new Rental(o.type().name(), o.zone(), o.spot(),
-                Math.min(n, CloudMessages.MOST_RENTED_AT_ONCE))));
+        counts.forEach((o, n) -> {
+            for (int left = n; left > 0; left -= CloudMessages.MOST_RENTED_AT_ONCE) {
+                rentals.add(new Rental(o.type().name(), o.zone(), o.spot(),
+                        Math.min(left, CloudMessages.MOST_RENTED_AT_ONCE)));
+            }
+        });
         return rentals;
     }
 
     /** What each team may still use. */
     private Map<String, Double> teamRoom() {
         Map<String, Double> room = new HashMap<>();
-        for (JobRecord job : view.jobs()) {
-            String name = job.request().team();
-            if (!room.containsKey(name)) {
-                Settings.Team team = placing.team(name);
-                room.put(name, team == null ? 0 : team.cpusMax() - view.usedBy(name).cpus);
-            }
-        }
+        placing.teams().forEach(team -> room.put(team.name(), team.cpusMax() - view.cpusUsedBy(team.name())));
         return room;
     }
 
@@ -203,49 +205,61 @@
         return new Slot(offering, offering.type().cpus(), offering.type().cards(), offering.type().memoryGb());
     }
 
-    private boolean layOut(JobRequest job, List<Slot> slots, List<Slot> rented, List<Offering> offerings) {
-        for (Slot slot : slots) {
-            if (slot.take(job)) {
-                return true;
-            }
-        }
-        for (Slot slot : rented) {
-            if (slot.take(job)) {
-                return true;
+    /** Lays out up to so many tasks and returns how many found a place; slots that become full are dropped. */
+    private static int layOut(JobRequest job, int tasks, List<Slot> slots, List<Slot> rented, List<Offering> offerings) {
+        int laid = 0;
+        for (List<Slot> there : List.of(slots, rented)) {
+            for (int i = 0; i < there.size() && laid < tasks; i++) {
+                while (laid < tasks && there.get(i).take(job)) {
+                    laid++;
+                }
             }
         }
+        slots.removeIf(slot -> slot.cpus <= 1e-6);
         for (Offering offering : offerings) {
-            if (suits(offering, job)) {
-                Slot slot = empty(offering);
-                slot.take(job);
-                rented.add(slot);
-                return true;
+            if (laid < tasks && suits(offering, job)) {
+                while (laid < tasks) {
+                    Slot slot = empty(offering);
+                    while (laid < tasks && slot.take(job)) {
+                        laid++;
+                    }
+                    rented.add(slot);
+                }
             }
         }
-        return false;
+        return laid;
     }
 
     /** Marks idle machines as leaving, and machines that never came up as lost. */
     public void propose(Draft draft, Instant now, Instant timeOfDay) {
-        boolean waiting = view.jobs().stream().anyMatch(j -> j.waiting() > 0);
+        if (proposedAt.plus(PLAN_EVERY).isAfter(now)) {
+            return;
+        }
+        proposedAt = now;
         idleSince.keySet().removeIf(name -> view.machine(name) == null || view.usedOn(name).tasks > 0);
         double spare = 0;
         double reservedUse = 0;
+        double waiting = 0;
+        Map<String, Double> teamRoom = teamRoom();
         for (JobRecord job : view.jobs()) {
-            reservedUse += job.reserved() ? job.unfinished() * job.request().cpus() : 0;
+            JobRequest request = job.request();
+            reservedUse += job.reserved() ? job.unfinished() * request.cpus() : 0;
+            double wanted = Math.min(job.waiting() * request.cpus(), Math.max(0, teamRoom.getOrDefault(request.team(), 0.0)));
+            teamRoom.merge(request.team(), -wanted, Double::sum);
+            waiting += wanted;
         }
         for (MachineRecord machine : view.machines()) {
             spare += machine.takesTasks() ? placing.freeCpus(machine, draft) : 0;
         }
-        double wanted = spareWanted(reservedUse, now);
+        double wanted = waiting + spareWanted(reservedUse, now);
         for (MachineRecord machine : dearestFirst()) {
             MachineType type = placing.types().get(machine.type());
-            if (type == null || machine.fate() != Fate.STAYS || !draft.hasRoomFor(1)) {
+            if (type == null || machine.fate() != Fate.STAYS || !draft.canPutMachine(machine.name())) {
                 continue;
             }
             if (!machine.up()) {
                 if (machine.rented().plus(type.boot().multipliedBy(policy.bootPatience())).isBefore(timeOfDay)) {
-                    draft.put(Keys.machine(machine.name()), machine.meant(Fate.LOST));
+                    draft.putMachine(draft.machine(machine.name()).meant(Fate.LOST));
                 }
                 continue;
             }
@@ -253,9 +267,8 @@
                 continue;
             }
             Instant since = idleSince.computeIfAbsent(machine.name(), m -> now);
-            boolean needed = waiting || spare - type.cpus() < wanted;
-            if (!needed && since.plus(policy.idleReturn()).isBefore(now)) {
-                draft.put(Keys.machine(machine.name()), machine.meant(Fate.LEAVING));
+            if (spare - type.cpus() >= wanted && since.plus(policy.idleReturn()).isBefore(now)) {
+                draft.putMachine(draft.machine(machine.name()).meant(Fate.LEAVING));
                 spare -= type.cpus();
             }
         }
@@ -274,7 +287,7 @@
         List<String> names = new ArrayList<>();
         for (MachineRecord machine : view.machines()) {
             // A placement recorded before the machine was marked has to be known here before it counts as empty.
-            boolean known = view.watched() >= view.mark(Keys.machine(machine.name()));
+            boolean known = view.watched() >= view.machineMark(machine.name());
             if (machine.fate() == Fate.LOST
                     || machine.fate() == Fate.LEAVING && known && view.usedOn(machine.name()).tasks == 0) {
                 names.add(machine.name());
@@ -282,12 +295,4 @@
         }
         return names;
     }
-
-    /** Records a machine that the cloud has rented to us. */
-    public static void record(Draft draft, String name, Rental rental, Instant timeOfDay) {
-        if (draft.machine(name) == null) {
-            draft.put(Keys.machine(name),
-                    MachineRecord.booting(name, rental.type(), rental.zone(), rental.spot(), timeOfDay));
-        }
-    }
 }
--- /dev/null
+++ b/src/main/java/org/gullway/coordination/GroupRecord.java
@@ -0,0 +1,39 @@
+package org.gullway.coordination;
+
+import java.util.ArrayList;
+import java.util.List;
+
+/**
+ * Machines that one controller commands together. A group is one record, so that claiming or handing over many
+ * machines changes few keys.
+ *
+ * @param controller incarnation of the controller that commands the machines
+ * @param epoch epoch at which it took them over; commands of earlier controllers are fenced once a worker has
+ *     confirmed this epoch
+ */
+public record GroupRecord(String id, Incarnation controller, long epoch, List<MachineRecord> machines) {
+    /** Small enough that a change of one machine costs little, large enough that a third of a fleet is few groups. */
+    public static final int MOST_MACHINES = 16;
+
+    public GroupRecord with(MachineRecord machine) {
+        List<MachineRecord> next = new ArrayList<>(machines.size() + 1);
+        boolean replaced = false;
+        for (MachineRecord each : machines) {
+            boolean same = each.name().equals(machine.name());
+            next.add(same ? machine : each);
+            replaced |= same;
+        }
+        if (!replaced) {
+            next.add(machine);
+        }
+        return new GroupRecord(id, controller, epoch, List.copyOf(next));
+    }
+
+    public GroupRecord without(String name) {
+        return new GroupRecord(id, controller, epoch, machines.stream().filter(m -> !m.name().equals(name)).toList());
+    }
+
+    public GroupRecord claimed(Incarnation by, long newEpoch) {
+        return new GroupRecord(id, by, newEpoch, machines.stream().map(m -> m.claimed(by, newEpoch)).toList());
+    }
+}
--- a/src/main/java/org/gullway/coordination/JobRecord.java
+++ b/src/main/java/org/gullway/coordination/JobRecord.java
@@ -2,7 +2,9 @@
 
 import java.time.Instant;
 import java.util.ArrayList;
+import java.util.BitSet;
 import java.util.List;
+import java.util.Map;
 import java.util.function.Predicate;
 import java.util.function.UnaryOperator;
 import org.gullway.protocol.JobRequest;
@@ -23,10 +25,19 @@
                         long attempts, int errors, List<Placement> live) {
 
     /** Generous size of one placement in the record, counted as the state store counts. */
-    public static final int PLACEMENT_BYTES = 75;
-    private static final int RANGE_BYTES = 16;
+    public static final int PLACEMENT_BYTES = 36;
+    private static final int RANGE_BYTES = 10;
     private static final int FIXED_BYTES = 1500;
 
+    /** How an attempt ended. */
+    public enum End {
+        /** Its task is complete. */
+        DONE,
+        /** It was stopped, or its machine was lost. */
+        STOPPED,
+        FAILED
+    }
+
     /** The one place that says which jobs the leader books and which wait in private queues. */
     public static boolean isReserved(JobRequest request) {
         return request.shape() != Shape.ARRAY || request.rank() == Rank.PROD || request.rank() == Rank.HIGH;
@@ -72,27 +83,6 @@
         return cancelled ? live.size() : request.tasks() - done.size();
     }
 
-    /** The lowest task that is neither done nor placed, or -1. */
-    public int nextWaiting() {
-        if (waiting() == 0) {
-            return -1;
-        }
-        int task = done.firstMissing(0);
-        while (isLive(task)) {
-            task = done.firstMissing(task + 1);
-        }
-        return task < request.tasks() ? task : -1;
-    }
-
-    private boolean isLive(int task) {
-        for (Placement placement : live) {
-            if (placement.task() == task) {
-                return true;
-            }
-        }
-        return false;
-    }
-
     public Placement placementOf(int task, long attempt) {
         for (Placement placement : live) {
             if (placement.task() == task && placement.attempt() == attempt) {
@@ -106,27 +96,52 @@
         return request.shape() == Shape.GANG;
     }
 
-    /** Records one attempt; those of a gang that are placed together carry the same number. */
-    public JobRecord placed(int task, String machine, long session, Instant timeOfDay) {
-        List<Placement> next = new ArrayList<>(live);
-        long attempt = gang() && !live.isEmpty() ? attempts : attempts + 1;
-        next.add(new Placement(task, attempt, machine, session, false, timeOfDay));
+    /**
+     * Records one attempt on each of these machines, for the lowest tasks that are neither done nor placed. Those of
+     * a gang, which are placed together, carry the same number.
+     */
+    public JobRecord placed(List<MachineRecord> machines, Instant timeOfDay) {
+        BitSet taken = new BitSet();
+        live.forEach(p -> taken.set(p.task()));
+        List<Placement> next = new ArrayList<>(live.size() + machines.size());
+        next.addAll(live);
+        long attempt = attempts;
+        int task = -1;
+        for (MachineRecord machine : machines) {
+            do {
+                task = done.firstMissing(taken.nextClearBit(task + 1));
+            } while (taken.get(task));
+            if (task >= request.tasks()) {
+                throw new IllegalStateException("more placements than waiting tasks of " + request.id());
+            }
+            attempt = gang() && attempt > attempts ? attempt : attempt + 1;
+            next.add(new Placement(task, attempt, machine.name(), machine.session(), false, timeOfDay));
+        }
         return new JobRecord(request, owner, submitted, cancelled, done, attempt, errors, List.copyOf(next));
     }
 
-    /** The attempt has completed its task; a service's task has none and starts anew. */
-    public JobRecord completed(Placement placement) {
-        if (request.shape() == Shape.SERVICE) {
-            return ended(placement, false);
-        }
-        return new JobRecord(request, owner, submitted, cancelled, done.with(placement.task()), attempts, 0,
-                without(p -> p.equals(placement)));
+    /** How many more attempts the record has room for. */
+    public int roomFor(int valueBytes) {
+        return Math.max(0, (valueBytes - bytes()) / PLACEMENT_BYTES);
     }
 
-    /** The attempt has ended without completing its task, which waits again. */
-    public JobRecord ended(Placement placement, boolean failed) {
-        return new JobRecord(request, owner, submitted, cancelled, done, attempts, failed ? errors + 1 : errors,
-                without(p -> p.equals(placement)));
+    /** Records the ends of attempts; what did not complete its task waits again. A service has no end of its own. */
+    public JobRecord ended(Map<Placement, End> ends) {
+        Ranges nextDone = done;
+        int nextErrors = errors;
+        List<Placement> left = new ArrayList<>(live.size());
+        for (Placement placement : live) {
+            End end = ends.get(placement);
+            if (end == null) {
+                left.add(placement);
+            } else if (end == End.DONE && request.shape() != Shape.SERVICE) {
+                nextDone = nextDone.with(placement.task());
+                nextErrors = 0;
+            } else if (end == End.FAILED) {
+                nextErrors++;
+            }
+        }
+        return new JobRecord(request, owner, submitted, cancelled, nextDone, attempts, nextErrors, List.copyOf(left));
     }
 
     public JobRecord stopping(Predicate<Placement> which) {
@@ -142,8 +157,4 @@
     public JobRecord ownedBy(String controller) {
         return new JobRecord(request, controller, submitted, cancelled, done, attempts, errors, live);
     }
-
-    private List<Placement> without(Predicate<Placement> which) {
-        return live.stream().filter(which.negate()).toList();
-    }
 }
--- a/src/main/java/org/gullway/coordination/MachineControl.java
+++ b/src/main/java/org/gullway/coordination/MachineControl.java
@@ -3,39 +3,64 @@
 import java.time.Duration;
 import java.time.Instant;
 import java.util.ArrayList;
+import java.util.Collection;
+import java.util.Collections;
 import java.util.HashMap;
 import java.util.HashSet;
 import java.util.List;
 import java.util.Map;
 import java.util.Set;
+import java.util.TreeMap;
+import org.gullway.coordination.JobRecord.End;
 import org.gullway.coordination.MachineRecord.Fate;
 import org.gullway.protocol.Command;
+import org.gullway.protocol.EndNotice;
 import org.gullway.protocol.JobRequest;
 import org.gullway.protocol.TaskReport;
 import org.gullway.protocol.WorkerReport;
 
 /**
- * The machines whose workers report to this controller. Recorded placements are what is wanted; the worker's newest
- * message is what is; the difference becomes commands. Ends seen here become changes of the records.
+ * The machines that this controller commands. Recorded placements are what is wanted; the worker's newest message is
+ * what is; the difference becomes commands. Ends seen here go to the keepers of the jobs.
+ *
+ * <p>Only workers of which something has changed, or is due, are looked at; an unchanged report costs no more than
+ * its decoding.
  */
 public final class MachineControl {
     private static final Duration RETRY = Duration.ofMillis(500);
+    private static final Duration TELL_AGAIN = Duration.ofMillis(1500);
+    /** After that the end is recorded here: the keeper may be out of reach, or change again and again. */
+    private static final Duration TOLD_IN_VAIN = Duration.ofSeconds(4);
     private static final Duration NOTICE_MARGIN = Duration.ofSeconds(1);
     private static final Duration ERROR_WINDOW = Duration.ofMinutes(2);
+    /** A worker waits so long for an answer before it turns to another controller. */
+    private static final Duration ANSWER_LIMIT = Duration.ofSeconds(4);
     private static final int ERRORS_OF_JOBS = 2;
+    /** Every worker reports once more when the epoch has risen, so starts without an answer are settled together. */
+    private static final Duration RAISE_PAUSE = Duration.ofSeconds(1);
+    /** Commands on their way at a time; the rest has its turn when answers come in. */
+    private static final int MOST_PUSHES = 128;
 
     private final ClusterView view;
     private final Incarnation self;
     private final Duration reportInterval;
-    private final Map<String, Worker> workers = new HashMap<>();
-    private final Set<String> claims = new HashSet<>();
+    private final EndedAttempts ended;
+    private final Map<String, Worker> workers = new TreeMap<>();
+    /** Machines here whose session on record may be behind. */
+    private final Set<String> newSessions = new HashSet<>();
+    /** Groups of a controller that some of their workers cannot reach. */
+    private final Set<String> strayGroups = new HashSet<>();
+    private final Map<String, List<EndNotice>> notices = new TreeMap<>();
+    private int pushing;
+    private Instant raisedAt = Instant.MIN;
     /** Since when reports are taken without a break; before that, silence says nothing about a worker. */
     private Instant listeningSince = Instant.MAX;
 
-    public MachineControl(ClusterView view, Incarnation self, Duration reportInterval) {
+    public MachineControl(ClusterView view, Incarnation self, Duration reportInterval, EndedAttempts ended) {
         this.view = view;
         this.self = self;
         this.reportInterval = reportInterval;
+        this.ended = ended;
     }
 
     /** To be told in every round whether this controller is entitled to act, and so takes reports. */
@@ -49,7 +74,8 @@
 
     /** How a report is answered. */
     public sealed interface Answer {
-        record Commands(long token, List<Command> commands) implements Answer {
+        /** @param changed whether the report may give this controller something to do */
+        record Commands(long token, List<Command> commands, boolean changed) implements Answer {
         }
 
         /** The worker should report to another controller; null leaves the choice to it. */
@@ -62,7 +88,7 @@
     }
 
     /** Commands to be sent to a worker now. */
-    public record Push(String machine, String address, long token, long session, List<Command> commands) {
+    public record Push(String machine, String address, long token, long session, List<Command> commands, Instant sent) {
         public boolean starts() {
             return commands.stream().anyMatch(c -> c.kind() == Command.Kind.START);
         }
@@ -73,87 +99,91 @@
             return new Answer.NotYet();
         }
         MachineRecord record = view.machine(report.machine());
-        Worker worker = workers.get(report.machine());
-        if (record == null || !record.up()) {
-            String better = fewestMachines();
-            if (better != null && (worker == null || worker.strayedAt() == null)) {
-                stray(report.machine(), now);
+        if (record == null) {
+            // It comes on record by the cloud's answer or list, never by a report alone: that may be an old copy.
+            return new Answer.Commands(view.epoch(), List.of(), false);
+        }
+        if (!self.equals(record.controller())) {
+            String better = view.isLive(record.controller()) ? record.controller().node()
+                    : successor(view.group(view.groupOf(record.name())));
+            if (!self.node().equals(better)) {
+                stray(record, now);
                 return new Answer.Elsewhere(better);
             }
-            claims.add(report.machine());
-        } else if (!self.equals(record.controller())) {
-            boolean comesBack = worker != null && worker.strayedAt() != null
-                    && now.isBefore(worker.strayedAt().plus(reportInterval.multipliedBy(10)));
-            if (view.isLive(record.controller()) && !comesBack) {
-                stray(report.machine(), now);
-                return new Answer.Elsewhere(record.controller().node());
-            }
-            claims.add(report.machine());
-        } else if (report.session() > record.session()) {
-            claims.add(report.machine());
         }
-        Worker known = workers.computeIfAbsent(report.machine(), m -> new Worker());
-        known.take(report, now);
+        Worker known = workers.computeIfAbsent(report.machine(), m -> new Worker(now));
+        boolean changed = known.take(report, now) && known.dueForLook(now);
+        if (report.session() > record.session()) {
+            newSessions.add(report.machine());
+            changed = true;
+        }
         known.strayed(null);
-        return new Answer.Commands(view.epoch(), forgets(known, record));
+        return new Answer.Commands(view.epoch(), forgets(known, record), changed);
     }
 
-    private void stray(String machine, Instant now) {
-        workers.computeIfAbsent(machine, m -> new Worker()).strayed(now);
+    /** A worker that comes back after it was sent on cannot reach its controller. */
+    private void stray(MachineRecord record, Instant now) {
+        Worker worker = workers.computeIfAbsent(record.name(), m -> new Worker(now));
+        if (worker.strayedAt() == null || worker.strayedAt().plus(reportInterval.multipliedBy(10)).isBefore(now)) {
+            worker.strayed(now);
+        } else if (view.isLive(record.controller())) {
+            strayGroups.add(view.groupOf(record.name()));
+        }
     }
 
-    /** A live controller with at least two machines fewer than this one, or null. */
-    private String fewestMachines() {
-        Map<String, Integer> counts = new HashMap<>();
-        view.members().keySet().forEach(node -> counts.put(node, 0));
-        for (MachineRecord machine : view.machines()) {
-            if (machine.up() && view.isLive(machine.controller())) {
-                counts.merge(machine.controller().node(), 1, Integer::sum);
-            }
+    /**
+     * Who takes over the group of a lost controller: the same node if it is back, or else a member that all
+     * controllers agree on as far as they agree on the members.
+     */
+    private String successor(GroupRecord group) {
+        if (view.members().containsKey(group.controller().node())) {
+            return group.controller().node();
         }
-        int mine = counts.getOrDefault(self.node(), 0);
-        return counts.entrySet().stream()
-                .filter(e -> e.getValue() + 2 <= mine)
-                .min(Map.Entry.<String, Integer>comparingByValue().thenComparing(Map.Entry.comparingByKey()))
-                .map(Map.Entry::getKey).orElse(null);
+        List<String> members = List.copyOf(view.members().keySet());
+        return members.isEmpty() ? null : members.get(Math.floorMod(group.id().hashCode(), members.size()));
     }
 
     /** The answer to a direct command. */
     public void answered(WorkerReport report, Instant now) {
         Worker worker = workers.get(report.machine());
-        if (worker != null) {
+        MachineRecord record = view.machine(report.machine());
+        if (worker != null && record != null) {
             worker.take(report, now);
-            if (report.session() > sessionOf(report.machine())) {
-                claims.add(report.machine());
+            if (report.session() > record.session()) {
+                newSessions.add(report.machine());
             }
         }
     }
 
-    private long sessionOf(String machine) {
-        MachineRecord record = view.machine(machine);
-        return record == null ? Long.MAX_VALUE : record.session();
-    }
-
     /** The outcome of a push: unknown if the worker may still get it. */
     public void pushEnded(Push push, boolean unknown, boolean failed, Instant now) {
+        pushing--;
         Worker worker = workers.get(push.machine());
         if (worker != null) {
             if (unknown && push.starts()) {
                 worker.startUnknown(push.token());
             }
-            worker.commandEnded(now, failed ? RETRY : Duration.ZERO);
+            if (failed) {
+                worker.commandFailed(push.sent(), now, RETRY);
+            } else {
+                worker.commandAnswered(now);
+            }
         }
     }
 
     /** Whether the machine is this controller's, and the watch has brought all that was recorded before. */
+    private boolean mine(MachineRecord record) {
+        return record != null && record.up() && self.equals(record.controller())
+                && view.watched() >= view.machineMark(record.name());
+    }
+
     private boolean commands(MachineRecord record, Worker worker) {
-        return record != null && self.equals(record.controller()) && worker != null && worker.newest() != null
-                && worker.newest().session() == record.session()
-                && view.watched() >= view.mark(Keys.machine(record.name()));
+        return mine(record) && worker != null && worker.newest() != null
+                && worker.newest().session() == record.session();
     }
 
     private List<Command> forgets(Worker worker, MachineRecord record) {
-        if (!commands(record, worker) || !worker.fenced(record)) {
+        if (!commands(record, worker) || !worker.fenced(record) || worker.tasks().isEmpty()) {
             return List.of();
         }
         List<Command> list = new ArrayList<>();
@@ -166,24 +196,59 @@
         return list;
     }
 
-    /** All commands that are due now, one push for each machine. */
+    /** Notes which machines the records show as changed. */
+    private void touched(Instant now) {
+        for (String name : view.drainTouched()) {
+            MachineRecord record = view.machine(name);
+            if (record != null && record.up() && self.equals(record.controller())) {
+                workers.computeIfAbsent(name, n -> new Worker(now)).look(now);
+            }
+        }
+    }
+
+    /** All commands that are due now, one push for each machine; ends that are seen are noted for their keepers. */
     public List<Push> pushes(Instant now) {
+        touched(now);
+        Instant recent = now.minus(reportInterval.multipliedBy(2));
         List<Push> pushes = new ArrayList<>();
         for (Map.Entry<String, Worker> entry : workers.entrySet()) {
             Worker worker = entry.getValue();
+            if (!worker.dueForLook(now)) {
+                continue;
+            }
             MachineRecord record = view.machine(entry.getKey());
-            if (!commands(record, worker) || !worker.mayCommand(now)
-                    || worker.heard().plus(reportInterval.multipliedBy(4)).isBefore(now)) {
+            worker.lookedAt();
+            if (!mine(record)) {
+                if (record != null && record.up() && self.equals(record.controller())) {
+                    worker.look(now.plusMillis(30));
+                }
+                continue;
+            }
+            if (commands(record, worker)) {
+                ends(record, worker, now);
+            }
+            if (worker.heard().isBefore(recent)) {
+                // Most likely it is gone; its report would bring it back here.
+                worker.look(now.plus(reportInterval));
+                continue;
+            }
+            if (!worker.mayCommand(now) || pushing >= MOST_PUSHES) {
+                worker.look(now.plusMillis(50));
                 continue;
             }
             List<Command> commands = new ArrayList<>();
-            boolean fenced = worker.fenced(record);
+            boolean known = commands(record, worker);
+            boolean fenced = known && worker.fenced(record);
             if (fenced) {
                 difference(record, worker, commands);
             }
-            if (!commands.isEmpty() || !fenced && worker.newest().token() < view.epoch()) {
+            // Without commands it asks the worker to confirm the epoch and to say what is there.
+            boolean introduce = !known && record.session() > 0
+                    || !fenced && worker.newest() != null && worker.newest().token() < view.epoch();
+            if (!commands.isEmpty() || introduce || worker.deafSince() != null) {
                 worker.commandSent();
-                pushes.add(new Push(record.name(), worker.newest().address(), view.epoch(), record.session(), commands));
+                pushing++;
+                pushes.add(new Push(record.name(), record.address(), view.epoch(), record.session(), commands, now));
             }
         }
         return pushes;
@@ -219,26 +284,90 @@
                 : request.save().multipliedBy(2).plusSeconds(1);
     }
 
-    /** Takes over machines, records ends, and marks machines that are faulty, silent or about to be taken. */
-    public void propose(Draft draft, Instant now, Instant timeOfDay) {
-        claim(draft, timeOfDay);
+    /** Notes attempts that have certainly ended: the keeper of each job records them. */
+    private void ends(MachineRecord record, Worker worker, Instant now) {
+        boolean fenced = worker.fenced(record);
+        view.placementsOn(record.name()).forEach((id, placement) -> {
+            if (placement.session() != record.session()) {
+                return;
+            }
+            JobRecord job = view.job(id.task().job());
+            TaskReport task = worker.tasks().get(id);
+            if (task == null) {
+                if (fenced && !worker.commanding() && (placement.stopping() || job.cancelled())) {
+                    tell(job, id, End.STOPPED, worker, now);
+                }
+            } else if (task.ended() && task.cause() == TaskReport.Cause.DONE) {
+                worker.succeeded();
+                tell(job, id, End.DONE, worker, now);
+            } else if (task.ended() && fenced) {
+                boolean failed = switch (task.cause()) {
+                    case ERROR, UNKNOWN_JOB, OTHER -> true;
+                    default -> false;
+                };
+                if (failed) {
+                    worker.failed(job.request().id(), now);
+                }
+                tell(job, id, failed ? End.FAILED : End.STOPPED, worker, now);
+            }
+        });
+    }
+
+    private void tell(JobRecord job, AttemptId id, End end, Worker worker, Instant now) {
+        worker.look(now.plus(TELL_AGAIN));
+        Incarnation leader = view.leader();
+        String keeper = job.reserved() ? leader == null ? null : leader.node() : job.owner();
+        if (self.node().equals(keeper) || worker.toldBefore(id, now.minus(TOLD_IN_VAIN))) {
+            ended.add(id, end, now);
+        }
+        if (keeper != null && !self.node().equals(keeper) && worker.mayTell(id, now, TELL_AGAIN)) {
+            notices.computeIfAbsent(keeper, k -> new ArrayList<>())
+                    .add(new EndNotice(id.task(), id.attempt(), (byte) end.ordinal()));
+        }
+    }
+
+    /** Ends to be told to the keepers of their jobs, by node; each batch is asked for once. */
+    public Map<String, List<EndNotice>> drainNotices() {
+        Map<String, List<EndNotice>> drained = new TreeMap<>(notices);
+        notices.clear();
+        return drained;
+    }
+
+    /** Ends that the controller of a machine has seen. */
+    public void noticed(Collection<EndNotice> ends, Instant now) {
+        for (EndNotice notice : ends) {
+            if (notice.end() >= 0 && notice.end() < End.values().length) {
+                ended.add(new AttemptId(notice.task(), notice.attempt()), End.values()[notice.end()], now);
+            }
+        }
+    }
+
+    /** Takes over groups, records sessions, and marks machines that are faulty, silent, deaf or about to be taken. */
+    public void propose(Draft draft, Instant now) {
+        claim(draft);
+        recordSessions(draft);
+        boolean raise = false;
         for (Map.Entry<String, Worker> entry : workers.entrySet()) {
             Worker worker = entry.getValue();
+            if (worker.openBelow() == 0 && worker.noticeEnd() == null && worker.failedJobsNone()) {
+                continue;
+            }
             MachineRecord record = draft.machine(entry.getKey());
             if (!commands(record, worker)) {
                 continue;
             }
-            ends(draft, record, worker, now);
-            if (worker.openBelow() >= draft.epoch() && draft.hasRoomFor(1)) {
-                draft.raiseEpoch();
-            }
+            raise |= worker.openBelow() >= draft.epoch();
             beforeTaken(draft, record, worker, now);
-            if (record.fate() == Fate.STAYS && draft.hasRoomFor(1)
+            if (draft.machine(entry.getKey()).fate() == Fate.STAYS && draft.canPutMachine(record.name())
                     && (worker.noticeEnd() != null || worker.failedLately(now, ERROR_WINDOW).size() >= ERRORS_OF_JOBS)) {
-                draft.put(Keys.machine(record.name()), record.meant(Fate.LEAVING));
+                draft.putMachine(record.meant(Fate.LEAVING));
             }
         }
-        markSilent(draft, now);
+        if (raise && raisedAt.plus(RAISE_PAUSE).isBefore(now) && draft.hasRoomFor(1)) {
+            raisedAt = now;
+            draft.raiseEpoch();
+        }
+        giveUp(draft, now);
     }
 
     /**
@@ -250,8 +379,8 @@
             return;
         }
         if (!now.isBefore(worker.noticeEnd())) {
-            if (record.fate() != Fate.LOST && draft.hasRoomFor(1)) {
-                draft.put(Keys.machine(record.name()), record.meant(Fate.LOST));
+            if (record.fate() != Fate.LOST && draft.canPutMachine(record.name())) {
+                draft.putMachine(record.meant(Fate.LOST));
             }
             return;
         }
@@ -268,105 +397,89 @@
         });
     }
 
-    private void claim(Draft draft, Instant timeOfDay) {
-        claims.removeIf(name -> {
+    /** Groups whose controller is lost, and those of a live one that many of their workers cannot reach. */
+    private void claim(Draft draft) {
+        strayGroups.removeIf(id -> view.group(id) == null || self.equals(view.group(id).controller()));
+        for (GroupRecord group : view.groups()) {
+            boolean lost = !view.isLive(group.controller()) && self.node().equals(successor(group));
+            if ((lost || strayGroups.contains(group.id()) && manyStrayed(group)) && draft.hasRoomFor(2)) {
+                draft.putGroup(draft.group(group.id()).claimed(self, draft.raiseEpoch()));
+            }
+        }
+    }
+
+    private boolean manyStrayed(GroupRecord group) {
+        long up = group.machines().stream().filter(MachineRecord::up).count();
+        long here = group.machines().stream().map(m -> workers.get(m.name()))
+                .filter(w -> w != null && w.strayedAt() != null).count();
+        return 2 * here >= up;
+    }
+
+    private void recordSessions(Draft draft) {
+        newSessions.removeIf(name -> {
             Worker worker = workers.get(name);
             MachineRecord record = view.machine(name);
-            return worker == null || worker.newest() == null
-                    || record != null && self.equals(record.controller())
-                    && record.session() >= worker.newest().session();
+            return worker == null || worker.newest() == null || record == null || !self.equals(record.controller())
+                    || record.session() >= worker.newest().session();
         });
-        for (String name : claims) {
-            if (!draft.hasRoomFor(2)) {
-                return;
-            }
-            WorkerReport report = workers.get(name).newest();
+        for (String name : newSessions) {
             MachineRecord record = draft.machine(name);
-            if (record == null) {
-                record = MachineRecord.booting(name, report.type(), report.zone(), report.spot(), timeOfDay);
+            if (record != null && draft.canPutMachine(name)) {
+                WorkerReport report = workers.get(name).newest();
+                draft.putMachine(record.inSession(report.session(), report.address()));
             }
-            if (record.session() > report.session()) {
-                continue;
-            }
-            boolean another = record.controller() != null && !record.controller().equals(self);
-            long epoch = another || draft.epoch() == 0 ? draft.raiseEpoch() : Math.max(record.epoch(), 1);
-            draft.put(Keys.machine(name), record.claimed(self, report.address(), report.session(), epoch));
         }
     }
 
-    private void ends(Draft draft, MachineRecord record, Worker worker, Instant now) {
-        boolean fenced = worker.fenced(record);
-        view.placementsOn(record.name()).forEach((id, placement) -> {
-            if (placement.session() != record.session() || !draft.hasRoomFor(2)) {
-                return;
-            }
-            JobRecord job = draft.job(id.task().job());
-            if (job == null || job.placementOf(placement.task(), placement.attempt()) == null) {
-                return;
-            }
-            Placement current = job.placementOf(placement.task(), placement.attempt());
-            TaskReport task = worker.tasks().get(id);
-            if (task == null) {
-                boolean neverStarted = fenced && !worker.commanding() && (current.stopping() || job.cancelled());
-                if (neverStarted) {
-                    draft.putJob(job.ended(current, false));
-                }
-            } else if (task.ended() && task.cause() == TaskReport.Cause.DONE) {
-                worker.succeeded();
-                draft.putJob(job.completed(current));
-            } else if (task.ended() && fenced) {
-                boolean failed = switch (task.cause()) {
-                    case ERROR, UNKNOWN_JOB, OTHER -> true;
-                    default -> false;
-                };
-                if (failed) {
-                    worker.failed(job.request().id(), now);
-                }
-                draft.putJob(job.ended(current, failed));
-            }
-        });
-    }
-
     /**
-     * A machine that has been silent for several intervals is given up. While all are silent the fault is more likely
-     * to be this controller's own network, and their workers turn to others; then it takes longer.
+     * A machine that has been silent for several intervals is given up, and so is one whose reports arrive but which
+     * answers no command: its reports look alive, yet nothing can be started or stopped there. While all are silent or
+     * deaf the fault is more likely to be this controller's own network, and then it takes longer.
      */
-    private void markSilent(Draft draft, Instant now) {
-        Instant limit = now.minus(reportInterval.multipliedBy(3).plusSeconds(1));
+    private void giveUp(Draft draft, Instant now) {
+        Instant limit = now.minus(reportInterval.multipliedBy(2).plus(ANSWER_LIMIT));
         if (!listeningSince.isBefore(limit)) {
             // After an outage of the state store all workers have been refused for a while (simulated day 99336).
             return;
         }
         Instant longLimit = limit.minus(reportInterval.multipliedBy(4));
         Instant recent = now.minus(reportInterval.multipliedBy(2));
-        List<Worker> mine = new ArrayList<>();
-        List<MachineRecord> silent = new ArrayList<>();
-        for (MachineRecord record : view.machines()) {
-            Worker worker = workers.get(record.name());
-            if (self.equals(record.controller()) && worker != null && worker.heard() != null) {
-                mine.add(worker);
-                if (worker.heard().isBefore(limit)) {
-                    silent.add(record);
-                }
+        List<String> candidates = new ArrayList<>();
+        boolean othersWell = false;
+        for (Map.Entry<String, Worker> entry : workers.entrySet()) {
+            Worker worker = entry.getValue();
+            MachineRecord record = view.machine(entry.getKey());
+            if (record == null || !record.up() || !self.equals(record.controller())) {
+                continue;
+            }
+            if (lostSince(worker).isBefore(limit)) {
+                candidates.add(entry.getKey());
             }
+            othersWell |= worker.heard().isAfter(recent) && worker.deafSince() == null;
         }
-        boolean othersHeard = mine.stream().anyMatch(w -> w.heard().isAfter(recent));
-        for (MachineRecord record : silent) {
-            boolean longSilent = workers.get(record.name()).heard().isBefore(longLimit);
-            if ((othersHeard || longSilent) && record.fate() != Fate.LOST && draft.hasRoomFor(1)) {
-                draft.put(Keys.machine(record.name()), draft.machine(record.name()).meant(Fate.LOST));
+        for (String name : candidates) {
+            MachineRecord record = draft.machine(name);
+            boolean forLong = lostSince(workers.get(name)).isBefore(longLimit);
+            if (record != null && (othersWell || forLong) && record.fate() != Fate.LOST && draft.canPutMachine(name)) {
+                draft.putMachine(record.meant(Fate.LOST));
             }
         }
     }
 
+    private static Instant lostSince(Worker worker) {
+        return worker.deafSince() == null ? worker.heard()
+                : Collections.min(List.of(worker.heard(), worker.deafSince()));
+    }
+
     /** Machines here that can be given tasks now. */
     public List<MachineRecord> ready(Instant now) {
         List<MachineRecord> ready = new ArrayList<>();
+        Instant recent = now.minus(reportInterval.multipliedBy(2));
         for (Map.Entry<String, Worker> entry : workers.entrySet()) {
             MachineRecord record = view.machine(entry.getKey());
             Worker worker = entry.getValue();
-            if (commands(record, worker) && record.takesTasks() && worker.fenced(record)
-                    && worker.heard().plus(reportInterval.multipliedBy(2)).isAfter(now)) {
+            if (worker.deafSince() == null && worker.heard().isAfter(recent) && commands(record, worker)
+                    && record.takesTasks() && worker.fenced(record)) {
                 ready.add(record);
             }
         }
@@ -380,7 +493,7 @@
             Worker worker = entry.getValue();
             boolean mine = record != null && self.equals(record.controller());
             boolean strayed = worker.strayedAt() != null && now.isBefore(worker.strayedAt().plus(Duration.ofMinutes(1)));
-            return !mine && !claims.contains(entry.getKey()) && !strayed && !worker.commanding();
+            return !mine && !strayed && !worker.commanding();
         });
     }
 }
--- a/src/main/java/org/gullway/coordination/MachineRecord.java
+++ b/src/main/java/org/gullway/coordination/MachineRecord.java
@@ -5,10 +5,10 @@
 /**
  * A machine that is ours, from its rental until the cloud has confirmed that it is gone.
  *
- * @param controller incarnation of the controller that commands it; null until its worker has reported
+ * @param address where its worker takes commands; null until the worker has reported
+ * @param controller incarnation of the controller that commands it, which is its group's
  * @param session session in which tasks may be placed; 0 until the worker has reported
- * @param epoch epoch at which the controller took it over; commands of earlier controllers are fenced once the
- *     worker has confirmed this epoch
+ * @param epoch its group's epoch
  * @param rented time of day of the rental, as far as known
  */
 public record MachineRecord(String name, String address, String type, String zone, boolean spot,
@@ -23,20 +23,26 @@
         LOST
     }
 
-    public static MachineRecord booting(String name, String type, String zone, boolean spot, Instant rented) {
-        return new MachineRecord(name, null, type, zone, spot, null, 0, 0, Fate.STAYS, rented);
+    public static MachineRecord booting(String name, String type, String zone, boolean spot, Instant rented,
+                                        Incarnation controller, long epoch) {
+        return new MachineRecord(name, null, type, zone, spot, controller, 0, epoch, Fate.STAYS, rented);
     }
 
     public boolean up() {
-        return controller != null;
+        return session > 0;
     }
 
     public boolean takesTasks() {
         return up() && fate == Fate.STAYS;
     }
 
-    public MachineRecord claimed(Incarnation by, String reportedAddress, long newSession, long newEpoch) {
-        return new MachineRecord(name, reportedAddress, type, zone, spot, by, newSession, newEpoch, fate, rented);
+    MachineRecord claimed(Incarnation by, long newEpoch) {
+        return new MachineRecord(name, address, type, zone, spot, by, session, newEpoch, fate, rented);
+    }
+
+    /** The worker has reported that this session has begun, so every earlier one is over. */
+    public MachineRecord inSession(long newSession, String reportedAddress) {
+        return new MachineRecord(name, reportedAddress, type, zone, spot, controller, newSession, epoch, fate, rented);
     }
 
     public MachineRecord meant(Fate next) {
--- a/src/main/java/org/gullway/coordination/Placing.java
+++ b/src/main/java/org/gullway/coordination/Placing.java
@@ -1,6 +1,8 @@
 package org.gullway.coordination;
 
+import java.util.ArrayList;
 import java.util.Collection;
+import java.util.Comparator;
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
@@ -33,6 +35,10 @@
         return teams.get(name);
     }
 
+    public Collection<Settings.Team> teams() {
+        return teams.values();
+    }
+
     /** Whether the job could ever run: its team is known, a task fits a type and the limit. */
     public boolean possible(JobRequest job) {
         Settings.Team team = teams.get(job.team());
@@ -44,10 +50,15 @@
                 && (job.zone() == null || type.zones().contains(job.zone())));
     }
 
-    public boolean withinLimit(JobRequest job, Draft draft) {
-        Settings.Team team = teams.get(job.team());
-        return team != null && draft.cpusUsedBy(job.team()) + job.cpus() <= team.cpusMax() + EPSILON
-                && draft.cardsUsedBy(job.team()) + job.cards() <= team.cardsMax() + EPSILON;
+    /** How many more tasks of the job its share of the team's limit allows. */
+    public int withinShare(JobRecord job, Draft draft) {
+        JobRequest request = job.request();
+        String share = Keys.shareOf(job);
+        ShareRecord.Amount cap = draft.share(share).of(request.team());
+        double byCpus = (cap.cpus() - draft.cpusUsedOf(share, request.team()) + EPSILON) / request.cpus();
+        double byCards = request.cards() == 0 ? byCpus
+                : (cap.cards() - draft.cardsUsedOf(share, request.team()) + EPSILON) / request.cards();
+        return (int) Math.max(0, Math.min(byCpus, byCards));
     }
 
     public double freeCpus(MachineRecord machine, Draft draft) {
@@ -63,49 +74,82 @@
                 && draft.cardsUsedOn(machine.name()) + job.cards() <= type.cards() + EPSILON;
     }
 
+    /** Whether the job allows this machine, were it not for where its other tasks are. */
+    private static boolean suits(JobRequest request, MachineRecord machine) {
+        return (!machine.spot() || request.spot())
+                && (request.zone() == null || request.zone().equals(machine.zone()))
+                && (request.types() == null || request.types().contains(machine.type()));
+    }
+
     /** Whether the job allows this machine, given where its other tasks are. */
     public boolean allowed(JobRecord job, MachineRecord machine, ClusterView view) {
         JobRequest request = job.request();
-        if (machine.spot() && !request.spot()
-                || request.zone() != null && !request.zone().equals(machine.zone())
-                || request.types() != null && !request.types().contains(machine.type())) {
+        if (!suits(request, machine)) {
             return false;
         }
         if (!request.oneZone() && !request.spread()) {
             return true;
         }
-        int here = 0;
+        List<String> zones = new ArrayList<>();
         for (Placement placement : job.live()) {
             MachineRecord other = view.machine(placement.machine());
-            boolean sameZone = other != null && other.zone().equals(machine.zone());
-            if (request.oneZone() && !sameZone) {
-                return false;
-            }
-            here += sameZone ? 1 : 0;
+            zones.add(other == null ? "" : other.zone());
         }
-        return !request.spread() || here + 1 <= (request.tasks() + 1) / 2;
+        return allowedBeside(request, zones, machine.zone());
+    }
+
+    private static boolean allowedBeside(JobRequest request, List<String> zones, String zone) {
+        int here = (int) zones.stream().filter(zone::equals).count();
+        return (!request.oneZone() || here == zones.size())
+                && (!request.spread() || here + 1 <= (request.tasks() + 1) / 2);
     }
 
     /**
-     * The fullest of these machines that fits, or null. Exception to the fullest fit (dong-xanh steady): a machine
-     * without the image starts the task seconds later, so it fits less well than any that has it.
+     * Takes room for up to so many tasks of the job: each on the fullest of these machines that fits. A machine that
+     * was chosen is fuller afterwards, so it is filled before the next. Exception to the fullest fit (dong-xanh
+     * steady): a machine without the image starts the task seconds later, so it fits less well than any that has it.
      */
-    public MachineRecord best(JobRecord job, Collection<MachineRecord> machines, Draft draft, ClusterView view) {
-        MachineRecord best = null;
-        double bestFree = 0;
-        boolean bestImage = false;
+    public List<MachineRecord> take(JobRecord job, int tasks, Collection<MachineRecord> machines, Draft draft,
+                                    ClusterView view) {
+        JobRequest request = job.request();
+        List<Candidate> candidates = new ArrayList<>();
         for (MachineRecord machine : machines) {
-            if (!hasRoom(job.request(), machine, draft) || !allowed(job, machine, view)) {
-                continue;
+            if (tasks > 0 && suits(request, machine) && hasRoom(request, machine, draft)) {
+                candidates.add(new Candidate(machine, view.hasImage(machine.name(), request.image()),
+                        freeCpus(machine, draft)));
+            }
+        }
+        if (candidates.size() > 1) {
+            candidates.sort(Candidate.ORDER);
+        }
+        List<String> zones = new ArrayList<>();
+        boolean minded = request.oneZone() || request.spread();
+        if (minded) {
+            for (Placement placement : job.live()) {
+                MachineRecord other = view.machine(placement.machine());
+                zones.add(other == null ? "" : other.zone());
             }
-            double free = freeCpus(machine, draft);
-            boolean image = view.hasImage(machine.name(), job.request().image());
-            if (best == null || image && !bestImage || image == bestImage && free < bestFree) {
-                best = machine;
-                bestFree = free;
-                bestImage = image;
+        }
+        List<MachineRecord> taken = new ArrayList<>();
+        for (Candidate candidate : candidates) {
+            MachineRecord machine = candidate.machine();
+            while (taken.size() < tasks && hasRoom(request, machine, draft)
+                    && (!minded || allowedBeside(request, zones, machine.zone()))) {
+                draft.take(job, machine);
+                taken.add(machine);
+                if (minded) {
+                    zones.add(machine.zone());
+                }
+            }
+            if (taken.size() == tasks) {
+                break;
             }
         }
-        return best;
+        return taken;
+    }
+
+    private record Candidate(MachineRecord machine, boolean image, double free) {
+        private static final Comparator<Candidate> ORDER = Comparator.<Candidate>comparingInt(c -> c.image ? 0 : 1)
+                .thenComparingDouble(Candidate::free).thenComparing(c -> c.machine.name());
     }
 }
--- a/src/main/java/org/gullway/coordination/Repair.java
+++ b/src/main/java/org/gullway/coordination/Repair.java
@@ -3,42 +3,42 @@
 import java.time.Duration;
 import java.time.Instant;
 import java.util.ArrayList;
+import java.util.Collections;
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
 import java.util.random.RandomGenerator;
-import org.gullway.coordination.MachineRecord.Fate;
 
 /**
  * Puts right what the loss of a machine or a member leaves behind: attempts that are certainly gone wait again, jobs
- * whose owner is lost get another one, machines whose controller is lost and whose worker has turned to nobody are
- * given up.
+ * whose owner is lost get another one, and machines are dealt out evenly again.
  */
 public final class Repair {
+    private static final Duration BALANCE_EVERY = Duration.ofSeconds(5);
+
     private final ClusterView view;
+    private final Placing placing;
     private final String self;
-    private final Duration orphanLimit;
     private final RandomGenerator random;
-    private final Map<String, Instant> orphans = new HashMap<>();
+    private Instant balancedAt = Instant.MIN;
 
-    public Repair(ClusterView view, String self, Duration orphanLimit, RandomGenerator random) {
+    public Repair(ClusterView view, Placing placing, String self, RandomGenerator random) {
         this.view = view;
+        this.placing = placing;
         this.self = self;
-        this.orphanLimit = orphanLimit;
         this.random = random;
     }
 
     public void propose(Draft draft, boolean leading, Instant now) {
         for (JobRecord job : view.jobs()) {
             boolean orphaned = !job.reserved() && !view.members().containsKey(job.owner());
-            if (draft.hasRoomFor(2) && (job.reserved() || orphaned ? leading : self.equals(job.owner()))) {
+            if ((job.reserved() || orphaned ? leading : self.equals(job.owner())) && draft.hasRoomFor(4)) {
                 repair(draft, job, orphaned);
             }
         }
         if (leading) {
-            giveUpOrphans(draft, now);
-        } else {
-            orphans.clear();
+            Shares.release(draft, view, placing);
+            balance(draft, now);
         }
     }
 
@@ -47,45 +47,46 @@
         if (job == null) {
             return;
         }
-        JobRecord next = job;
+        Map<Placement, JobRecord.End> lost = new HashMap<>();
         for (Placement placement : job.live()) {
             MachineRecord machine = view.machine(placement.machine());
-            // A machine's key goes only after the cloud has confirmed that the machine is gone.
+            // A machine leaves the records only after the cloud has confirmed that it is gone.
             if (machine == null || machine.session() > placement.session()) {
-                next = next.ended(placement, false);
-                draft.rely(Keys.machine(placement.machine()));
+                lost.put(placement, JobRecord.End.STOPPED);
             }
         }
+        JobRecord next = lost.isEmpty() ? job : job.ended(lost);
         if (next.gang() && next.waiting() > 0 && next.live().stream().anyMatch(p -> !p.stopping())) {
             // A gang of which a task is lost starts again as a whole.
             next = next.stopping(p -> true);
         }
-        if (orphaned && !view.members().isEmpty()) {
-            List<String> members = new ArrayList<>(view.members().keySet());
-            next = next.ownedBy(members.get(random.nextInt(members.size())));
-        }
         if (next != job) {
             draft.putJob(next);
         }
+        if (orphaned && !next.over() && !view.members().isEmpty()) {
+            List<String> members = new ArrayList<>(view.members().keySet());
+            Shares.hand(draft, view, next, members.get(random.nextInt(members.size())));
+        }
     }
 
-    /** While this controller may not act it hears nothing, and waits anew for orphaned machines afterwards. */
-    public void interrupted() {
-        orphans.clear();
-    }
-
-    private void giveUpOrphans(Draft draft, Instant now) {
-        orphans.keySet().removeIf(name -> {
-            MachineRecord machine = view.machine(name);
-            return machine == null || !machine.up() || view.isLive(machine.controller());
-        });
-        for (MachineRecord machine : view.machines()) {
-            if (!machine.up() || view.isLive(machine.controller()) || machine.fate() == Fate.LOST) {
-                continue;
-            }
-            Instant since = orphans.computeIfAbsent(machine.name(), m -> now);
-            if (since.plus(orphanLimit).isBefore(now) && draft.hasRoomFor(1)) {
-                draft.put(Keys.machine(machine.name()), draft.machine(machine.name()).meant(Fate.LOST));
+    /** Moves groups from the controller with most machines to the one with fewest, after one has come back. */
+    private void balance(Draft draft, Instant now) {
+        if (balancedAt.plus(BALANCE_EVERY).isAfter(now) || view.members().size() < 2) {
+            return;
+        }
+        balancedAt = now;
+        Map<Incarnation, Integer> counts = new HashMap<>();
+        view.members().values().forEach(member -> counts.put(member, 0));
+        view.groups().forEach(group -> counts.computeIfPresent(group.controller(), (c, n) -> n + group.machines().size()));
+        for (GroupRecord group : view.groups()) {
+            Incarnation fewest = Collections.min(counts.entrySet(), Map.Entry.<Incarnation, Integer>comparingByValue()
+                    .thenComparing(e -> e.getKey().node())).getKey();
+            int size = group.machines().size();
+            if (counts.containsKey(group.controller()) && draft.hasRoomFor(2)
+                    && counts.get(group.controller()) - counts.get(fewest) > size + GroupRecord.MOST_MACHINES / 2) {
+                draft.putGroup(draft.group(group.id()).claimed(fewest, draft.raiseEpoch()));
+                counts.merge(group.controller(), -size, Integer::sum);
+                counts.merge(fewest, size, Integer::sum);
             }
         }
     }
--- a/src/main/java/org/gullway/coordination/ReservedBooking.java
+++ b/src/main/java/org/gullway/coordination/ReservedBooking.java
@@ -1,5 +1,6 @@
 package org.gullway.coordination;
 
+import java.time.Duration;
 import java.time.Instant;
 import java.util.ArrayList;
 import java.util.Comparator;
@@ -9,17 +10,20 @@
 import org.gullway.protocol.JobRequest;
 import org.gullway.protocol.MachineType;
 import org.gullway.protocol.Rank;
-import org.gullway.protocol.Settings;
 
 /**
  * The leader's booking of reserved-class tasks: each on the fullest machine that fits. While some wait, machines are
  * closed to new best-effort starts until their room would do.
  */
 public final class ReservedBooking {
+    /** Making room looks at every task of the fleet, so it is done at intervals; tasks take longer to stop anyway. */
+    private static final Duration ROOM_PAUSE = Duration.ofMillis(500);
+
     private final ClusterView view;
     private final Placing placing;
     private final JobPauses pauses;
     private final Urgency urgency;
+    private Instant roomMadeAt = Instant.MIN;
 
     public ReservedBooking(ClusterView view, Placing placing, JobPauses pauses, Urgency urgency) {
         this.view = view;
@@ -41,19 +45,27 @@
         }
         waiting.sort(order());
         List<MachineRecord> machines = new ArrayList<>();
+        List<MachineRecord> withRoom = new ArrayList<>();
         for (MachineRecord machine : view.machines()) {
             if (machine.takesTasks() && view.isLive(machine.controller())) {
                 machines.add(machine);
+                if (placing.freeCpus(machine, draft) > 0) {
+                    withRoom.add(machine);
+                }
             }
         }
         List<JobRecord> unfitted = new ArrayList<>();
         for (JobRecord job : waiting) {
             // Another part of this round may have cancelled the job or ended tasks of it already.
             JobRecord current = draft.job(job.request().id());
-            if (current != null && !book(draft, current, machines)) {
+            if (current != null && !book(draft, current, withRoom)) {
                 unfitted.add(draft.job(job.request().id()));
             }
         }
+        if (!unfitted.isEmpty() && roomMadeAt.plus(ROOM_PAUSE).isAfter(now)) {
+            return;
+        }
+        roomMadeAt = now;
         RoomMaking rooms = new RoomMaking(view, placing, urgency, draft, machines);
         List<JobRecord> stuck = new ArrayList<>();
         for (JobRecord job : unfitted) {
@@ -68,15 +80,9 @@
 
     /** Stops best-effort tasks of lower rank for all waiting tasks that the team's limit allows; false if not enough. */
     private boolean makeRoom(RoomMaking rooms, Draft draft, JobRecord job, List<MachineRecord> machines) {
-        Settings.Team team = placing.team(job.request().team());
-        double limit = team.cpusMax() - draft.cpusUsedBy(team.name());
-        for (int i = Math.min(job.waiting(), (int) (limit / job.request().cpus() + 1e-6)); i > 0; i--) {
-            if (!rooms.makeRoom(job, machines, other -> !other.reserved()
-                    && other.request().rank().compareTo(job.request().rank()) > 0)) {
-                return false;
-            }
-        }
-        return true;
+        int tasks = Math.min(job.waiting(), placing.withinShare(job, draft));
+        return rooms.makeRoom(job, tasks, machines, other -> !other.reserved()
+                && other.request().rank().compareTo(job.request().rank()) > 0);
     }
 
     /** By rank, then jobs within their team's guarantee, then by age. */
@@ -88,48 +94,33 @@
                 .thenComparing(j -> j.request().id());
     }
 
-    /** Books as many tasks as fit; false if some wait for room. */
-    private boolean book(Draft draft, JobRecord first, List<MachineRecord> machines) {
-        JobRecord job = first;
-        if (job.gang() && !bookable(draft, job, machines)) {
-            return !job.live().isEmpty();
+    /** Books as many tasks as fit, a gang's all or none; false if some wait for room. */
+    private boolean book(Draft draft, JobRecord job, List<MachineRecord> machines) {
+        if (job.gang() && !job.live().isEmpty()) {
+            return true;
         }
-        while (job != null && job.waiting() > 0) {
-            if (!placing.withinLimit(job.request(), draft) || !draft.canPlace(job)) {
-                return true;
-            }
-            MachineRecord machine = placing.best(job, machines, draft, view);
-            if (machine == null) {
-                return false;
-            }
-            draft.place(job, job.nextWaiting(), machine);
-            job = draft.job(job.request().id());
+        int allowed = Math.min(job.waiting(), Math.min(placing.withinShare(job, draft), draft.canPlace(job)));
+        if (allowed == 0 || job.gang() && allowed < job.waiting()) {
+            return true;
         }
-        return true;
-    }
-
-    /** Whether a whole gang fits now: it is tried out on a draft that is thrown away. */
-    private boolean bookable(Draft draft, JobRecord gang, List<MachineRecord> machines) {
-        if (!gang.live().isEmpty()) {
+        List<MachineRecord> taken = placing.take(job, allowed, machines, draft, view);
+        if (job.gang() && taken.size() < allowed) {
+            taken.forEach(machine -> draft.untake(job, machine));
             return false;
         }
-        Draft trial = draft.copy();
-        JobRecord job = gang;
-        while (job.waiting() > 0) {
-            MachineRecord machine = placing.withinLimit(job.request(), trial) && trial.canPlace(job)
-                    ? placing.best(job, machines, trial, view) : null;
-            if (machine == null) {
-                return false;
-            }
-            trial.place(job, job.nextWaiting(), machine);
-            job = trial.job(job.request().id());
+        if (!taken.isEmpty()) {
+            draft.place(job, taken);
+            machines.removeIf(machine -> placing.freeCpus(machine, draft) <= 0);
         }
-        return true;
+        return taken.size() == allowed;
     }
 
     /** The machines with most room that best-effort work could leave, enough for all that waits. */
     private Set<String> machinesToClose(Draft draft, List<JobRecord> unfitted, List<MachineRecord> machines) {
         Set<String> chosen = new LinkedHashSet<>();
+        if (unfitted.isEmpty()) {
+            return chosen;
+        }
         List<MachineRecord> candidates = new ArrayList<>(machines);
         candidates.sort(Comparator.comparingDouble((MachineRecord m) -> -placing.freeCpus(m, draft))
                 .thenComparing(MachineRecord::name));
@@ -138,7 +129,7 @@
             int tasks = job.waiting();
             for (MachineRecord machine : candidates) {
                 MachineType type = placing.types().get(machine.type());
-                if (tasks <= 0) {
+                if (tasks <= 0 || chosen.size() >= ClosedMachines.MOST) {
                     break;
                 }
                 if (type == null || !type.fits(request) || !placing.allowed(job, machine, view)
--- a/src/main/java/org/gullway/coordination/RoomMaking.java
+++ b/src/main/java/org/gullway/coordination/RoomMaking.java
@@ -8,6 +8,7 @@
 import java.util.LinkedHashSet;
 import java.util.List;
 import java.util.Map;
+import java.util.PriorityQueue;
 import java.util.Set;
 import java.util.function.Predicate;
 import org.gullway.protocol.JobRequest;
@@ -56,6 +57,10 @@
     private record Victim(JobRecord job, Placement placement, double loss) {
     }
 
+    /** One task's room on a machine and what it costs. */
+    private record Way(MachineRecord machine, List<Victim> victims, double loss) {
+    }
+
     RoomMaking(ClusterView view, Placing placing, Urgency urgency, Draft draft,
                Collection<MachineRecord> machines) {
         this.view = view;
@@ -87,46 +92,49 @@
     }
 
     /**
-     * Finds room for one task of the job: free, being freed, or freed by stopping tasks of jobs that may be displaced.
-     * False if there is none.
+     * Finds room for so many tasks of the job: free, being freed, or freed by stopping tasks of jobs that may be
+     * displaced, where that loses least. False if there is not enough.
      */
-    boolean makeRoom(JobRecord job, List<MachineRecord> machines, Predicate<JobRecord> displaceable) {
-        MachineRecord best = null;
-        List<Victim> bestVictims = List.of();
-        double bestLoss = Double.MAX_VALUE;
+    boolean makeRoom(JobRecord job, int tasks, List<MachineRecord> machines, Predicate<JobRecord> displaceable) {
+        if (tasks == 0) {
+            return true;
+        }
+        PriorityQueue<Way> ways = new PriorityQueue<>(Comparator.comparingDouble(Way::loss));
         for (MachineRecord machine : machines) {
-            Free room = free.get(machine.name());
-            if (room == null || !placing.allowed(job, machine, view)) {
-                continue;
-            }
-            List<Victim> victims = victims(job.request(), machine, room, displaceable);
-            if (victims == null) {
-                continue;
-            }
-            double loss = victims.stream().mapToDouble(Victim::loss).sum();
-            if (loss < bestLoss) {
-                best = machine;
-                bestVictims = victims;
-                bestLoss = loss;
+            if (free.containsKey(machine.name()) && placing.allowed(job, machine, view)) {
+                consider(job, machine, displaceable, ways);
             }
         }
-        if (best == null || !draft.hasRoomFor(bestVictims.size())) {
-            return false;
-        }
-        Free room = free.get(best.name());
-        for (Victim victim : bestVictims) {
-            JobRecord current = draft.job(victim.job().request().id());
-            if (current == null) {
+        int left = tasks;
+        while (left > 0) {
+            Way way = ways.poll();
+            if (way == null || !draft.hasRoomFor(way.victims().size())) {
                 return false;
             }
-            draft.putJob(current.stopping(p -> p.equals(victim.placement())));
-            room.change(victim.job().request(), 1);
+            Free room = free.get(way.machine().name());
+            for (Victim victim : way.victims()) {
+                JobRecord current = draft.job(victim.job().request().id());
+                if (current == null) {
+                    return false;
+                }
+                draft.putJob(current.stopping(p -> p.equals(victim.placement())));
+                room.change(victim.job().request(), 1);
+            }
+            room.change(job.request(), -1);
+            meant.add(way.machine().name());
+            left--;
+            consider(job, way.machine(), displaceable, ways);
         }
-        room.change(job.request(), -1);
-        meant.add(best.name());
         return true;
     }
 
+    private void consider(JobRecord job, MachineRecord machine, Predicate<JobRecord> displaceable, Collection<Way> ways) {
+        List<Victim> victims = victims(job.request(), machine, free.get(machine.name()), displaceable);
+        if (victims != null) {
+            ways.add(new Way(machine, victims, victims.stream().mapToDouble(Victim::loss).sum()));
+        }
+    }
+
     /** The tasks with least work lost that would have to go; empty if there is room already, null if it can't be. */
     private List<Victim> victims(JobRequest job, MachineRecord machine, Free room, Predicate<JobRecord> displaceable) {
         if (room.fits(job)) {
--- /dev/null
+++ b/src/main/java/org/gullway/coordination/Shares.java
@@ -0,0 +1,184 @@
+package org.gullway.coordination;
+
+import java.time.Duration;
+import java.time.Instant;
+import java.util.Collection;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Set;
+import java.util.TreeMap;
+import java.util.TreeSet;
+import org.gullway.protocol.Settings;
+
+/**
+ * Keeps the shares that this controller holds as large as its jobs need. A team's limit is dealt out to the leader
+ * (for what it books) and to the owners of best-effort jobs; only the holder of a share raises or lowers it, except
+ * that the leader moves on what a lost member held.
+ *
+ * <p>Raising guards all other shares, so that their sum never exceeds a limit. Everybody sees all jobs, so everybody
+ * knows what the others need, and gives up what they need more.
+ */
+public final class Shares {
+    /** Raises are at least this part of the limit, as far as it is free, so that few of them are needed. */
+    private static final double LEAST_RAISE = 0.1;
+    /** Lowering by less is not worth a change of the store. */
+    private static final double LEAST_LOWERING = 0.02;
+    private static final Duration LOWERING_PAUSE = Duration.ofSeconds(1);
+
+    private final ClusterView view;
+    private final Placing placing;
+    private final String own;
+    private final Set<String> possible = new TreeSet<>();
+    private Instant loweredAt = Instant.MIN;
+
+    /** @param nodes all controllers of the deployment, this one included */
+    public Shares(ClusterView view, Placing placing, String self, Collection<String> nodes) {
+        this.view = view;
+        this.placing = placing;
+        this.own = Keys.share(self);
+        possible.add(Keys.LEADERS_SHARE);
+        nodes.forEach(node -> possible.add(Keys.share(node)));
+    }
+
+    /** Adjusts the shares held here: this node's, and the leader's while leading. */
+    public void propose(Draft draft, boolean leading, Instant now) {
+        Map<String, Map<String, double[]>> needs = needs();
+        List<String> held = leading ? List.of(Keys.LEADERS_SHARE, own) : List.of(own);
+        boolean mayLower = !loweredAt.plus(LOWERING_PAUSE).isAfter(now);
+        for (String share : held) {
+            ShareRecord before = draft.share(share);
+            ShareRecord after = before;
+            for (Settings.Team team : placing.teams()) {
+                after = adjust(draft, share, after, team, needs, mayLower);
+            }
+            if (!after.equals(before) && draft.hasRoomFor(1)) {
+                draft.put(share, after);
+                others(share).forEach(draft::rely);
+                if (mayLower) {
+                    loweredAt = now;
+                }
+            }
+        }
+    }
+
+    /** Also shares that were never written are guarded: their holders may be about to write them. */
+    private List<String> others(String share) {
+        Set<String> keys = new TreeSet<>(possible);
+        keys.addAll(view.shares().keySet());
+        keys.remove(share);
+        return List.copyOf(keys);
+    }
+
+    /** Processors and cards that the unfinished jobs of each share and team could use. */
+    private Map<String, Map<String, double[]>> needs() {
+        Map<String, Map<String, double[]>> needs = new TreeMap<>();
+        for (JobRecord job : view.jobs()) {
+            double[] need = needs.computeIfAbsent(Keys.shareOf(job), s -> new HashMap<>())
+                    .computeIfAbsent(job.request().team(), t -> new double[2]);
+            need[0] += job.unfinished() * job.request().cpus();
+            need[1] += job.unfinished() * job.request().cards();
+        }
+        return needs;
+    }
+
+    private ShareRecord adjust(Draft draft, String share, ShareRecord record, Settings.Team team,
+                               Map<String, Map<String, double[]>> needs, boolean mayLower) {
+        ShareRecord.Amount cap = record.of(team.name());
+        double cpus = wanted(draft, share, team, needs, 0, mayLower);
+        double cards = wanted(draft, share, team, needs, 1, mayLower);
+        return cpus == cap.cpus() && cards == cap.cards() ? record
+                : record.with(team.name(), new ShareRecord.Amount(cpus, cards));
+    }
+
+    private double wanted(Draft draft, String share, Settings.Team team, Map<String, Map<String, double[]>> needs,
+                          int dimension, boolean mayLower) {
+        double limit = dimension == 0 ? team.cpusMax() : team.cardsMax();
+        double cap = part(draft.share(share), team.name(), dimension);
+        double need = need(needs, share, team.name(), dimension);
+        double sum = cap;
+        double missing = 0;
+        double othersNeed = 0;
+        for (String other : others(share)) {
+            double otherCap = part(draft.share(other), team.name(), dimension);
+            double otherNeed = need(needs, other, team.name(), dimension);
+            sum += otherCap;
+            missing += Math.max(0, otherNeed - otherCap);
+            othersNeed += otherNeed;
+        }
+        double free = Math.max(0, limit - sum);
+        if (need > cap) {
+            double raise = Math.min(free, Math.max(need - cap, limit * LEAST_RAISE));
+            if (raise > 1e-6) {
+                return cap + raise;
+            }
+        }
+        if (missing <= free || !mayLower) {
+            return cap;
+        }
+        // Others are short: what this share does not need, or has beyond its part of a limit that all press, goes.
+        double target = need;
+        if (need + othersNeed > limit) {
+            double leaders = Math.min(limit, need(needs, Keys.LEADERS_SHARE, team.name(), dimension));
+            target = share.equals(Keys.LEADERS_SHARE) ? leaders
+                    : (limit - leaders) * need / Math.max(1e-9, need + othersNeed
+                    - need(needs, Keys.LEADERS_SHARE, team.name(), dimension));
+        }
+        double used = dimension == 0 ? draft.cpusUsedOf(share, team.name()) : draft.cardsUsedOf(share, team.name());
+        double lowered = Math.max(used, Math.min(cap, target));
+        return cap - lowered > limit * LEAST_LOWERING || lowered == 0 && cap > 0 ? lowered : cap;
+    }
+
+    private static double part(ShareRecord record, String team, int dimension) {
+        ShareRecord.Amount amount = record.of(team);
+        return dimension == 0 ? amount.cpus() : amount.cards();
+    }
+
+    private static double need(Map<String, Map<String, double[]>> needs, String share, String team, int dimension) {
+        double[] need = needs.getOrDefault(share, Map.of()).get(team);
+        return need == null ? 0 : need[dimension];
+    }
+
+    /**
+     * Gives a job to another member, together with the part of the limit that its tasks use; what the lost member
+     * held beyond the use of its jobs is free again. Its own placements are ruled out by its missing member key.
+     */
+    static void hand(Draft draft, ClusterView view, JobRecord job, String to) {
+        String from = Keys.share(job.owner());
+        String team = job.request().team();
+        double cpus = job.live().size() * job.request().cpus();
+        double cards = job.live().size() * job.request().cards();
+        draft.rely(Keys.member(job.owner()));
+        if (cpus > 0 || cards > 0) {
+            draft.put(from, draft.share(from).with(team, draft.share(from).of(team).plus(-cpus, -cards)));
+            draft.put(Keys.share(to), draft.share(Keys.share(to)).with(team,
+                    draft.share(Keys.share(to)).of(team).plus(cpus, cards)));
+        }
+        draft.moveUse(job, Keys.share(to));
+        draft.putJob(job.ownedBy(to));
+    }
+
+    /** Frees what lost members hold beyond the use of the jobs they still own. */
+    static void release(Draft draft, ClusterView view, Placing placing) {
+        for (String key : view.shares().keySet()) {
+            String node = Keys.holderOf(key);
+            if (node == null || view.members().containsKey(node) || draft.changes().containsKey(key)
+                    || !draft.hasRoomFor(2)) {
+                continue;
+            }
+            ShareRecord share = view.shares().get(key);
+            ShareRecord used = ShareRecord.EMPTY;
+            for (Settings.Team team : placing.teams()) {
+                ClusterView.Room room = view.usedOf(key, team.name());
+                used = used.with(team.name(), new ShareRecord.Amount(room.cpus, room.cards));
+            }
+            boolean less = share.teams().entrySet().stream().anyMatch(e ->
+                    e.getValue().cpus() > view.usedOf(key, e.getKey()).cpus + 1e-6
+                    || e.getValue().cards() > view.usedOf(key, e.getKey()).cards + 1e-6);
+            if (less) {
+                draft.rely(Keys.member(node));
+                draft.put(key, used);
+            }
+        }
+    }
+}
--- a/src/main/java/org/gullway/coordination/Worker.java
+++ b/src/main/java/org/gullway/coordination/Worker.java
@@ -19,27 +19,57 @@
     private Map<AttemptId, TaskReport> tasks = Map.of();
     /** For attempts that ended without completing: the worker's token when that was first seen. */
     private final Map<AttemptId, Long> endedAtToken = new HashMap<>();
+    /** When the keeper of the job was first and last told of an end that is not on record yet. */
+    private final Map<AttemptId, Told> told = new HashMap<>();
     private Instant heard;
     private Instant noticeEnd;
     /** A start was sent under this token and its outcome is open; only a higher confirmed token rules it out. */
     private long openBelow;
     private boolean commanding;
     private Instant quietUntil = Instant.MIN;
+    /** Since when commands have had no answer; reports alone do not show that the machine hears. */
+    private Instant deafSince;
+    private Instant lookAt = Instant.MIN;
     /** When the worker first came here although another controller commands its machine. */
     private Instant strayedAt;
     private final Map<String, Instant> failedJobs = new HashMap<>();
 
-    /** Takes a message of the worker; false if a newer one is known. */
+    private record Told(Instant first, Instant last) {
+    }
+
+    /** @param heard when this controller began to count the worker's silence */
+    Worker(Instant heard) {
+        this.heard = heard;
+    }
+
+    /** Takes a message of the worker; false if a newer one is known, and then nothing has changed. */
     boolean take(WorkerReport report, Instant now) {
         if (newest != null && !report.newerThan(newest.session(), newest.sequence())) {
             return false;
         }
         if (newest != null && newest.session() != report.session()) {
             endedAtToken.clear();
+            told.clear();
             noticeEnd = null;
         }
+        boolean same = newest != null && newest.session() == report.session() && newest.token() == report.token()
+                && newest.tasks().equals(report.tasks());
         newest = report;
         heard = now;
+        if (!same) {
+            takeTasks(report);
+            look(now);
+        }
+        if (report.notice() == null) {
+            noticeEnd = null;
+        } else if (noticeEnd == null) {
+            noticeEnd = now.plus(report.notice());
+            look(now);
+        }
+        return true;
+    }
+
+    private void takeTasks(WorkerReport report) {
         Map<AttemptId, TaskReport> next = new HashMap<>();
         for (TaskReport task : report.tasks()) {
             AttemptId id = new AttemptId(task.task(), task.attempt());
@@ -55,13 +85,8 @@
             }
         }
         endedAtToken.keySet().retainAll(next.keySet());
+        told.keySet().retainAll(next.keySet());
         tasks = next;
-        if (report.notice() == null) {
-            noticeEnd = null;
-        } else if (noticeEnd == null) {
-            noticeEnd = now.plus(report.notice());
-        }
-        return true;
     }
 
     WorkerReport newest() {
@@ -83,7 +108,7 @@
 
     /** Whether every command that could still arrive from before is refused by the worker now. */
     boolean fenced(MachineRecord record) {
-        return newest.token() >= record.epoch() && newest.token() > openBelow;
+        return newest != null && newest.token() >= record.epoch() && newest.token() > openBelow;
     }
 
     long openBelow() {
@@ -102,9 +127,36 @@
         commanding = true;
     }
 
-    void commandEnded(Instant now, Duration quiet) {
+    void commandAnswered(Instant now) {
+        commanding = false;
+        deafSince = null;
+        look(now);
+    }
+
+    void commandFailed(Instant sent, Instant now, Duration quiet) {
         commanding = false;
         quietUntil = now.plus(quiet);
+        deafSince = deafSince == null ? sent : deafSince;
+        look(quietUntil);
+    }
+
+    Instant deafSince() {
+        return deafSince;
+    }
+
+    /** Asks to be looked at by then. */
+    void look(Instant at) {
+        if (at.isBefore(lookAt)) {
+            lookAt = at;
+        }
+    }
+
+    boolean dueForLook(Instant now) {
+        return !lookAt.isAfter(now);
+    }
+
+    void lookedAt() {
+        lookAt = Instant.MAX;
     }
 
     /** The outcome of a start sent under this token will never be known. */
@@ -120,6 +172,20 @@
         return task.cause() == TaskReport.Cause.DONE || newest.token() > endedAtToken.getOrDefault(id, Long.MAX_VALUE);
     }
 
+    /** Whether the keeper is to be told of this end now, and since when it was told. */
+    boolean mayTell(AttemptId id, Instant now, Duration pause) {
+        Told before = told.get(id);
+        if (before != null && before.last().plus(pause).isAfter(now)) {
+            return false;
+        }
+        told.put(id, new Told(before == null ? now : before.first(), now));
+        return true;
+    }
+
+    boolean toldBefore(AttemptId id, Instant limit) {
+        return told.containsKey(id) && told.get(id).first().isBefore(limit);
+    }
+
     Instant strayedAt() {
         return strayedAt;
     }
@@ -136,6 +202,10 @@
         failedJobs.clear();
     }
 
+    boolean failedJobsNone() {
+        return failedJobs.isEmpty();
+    }
+
     /** Jobs of which tasks failed here lately, with no success since. */
     Set<String> failedLately(Instant now, Duration window) {
         failedJobs.values().removeIf(at -> at.plus(window).isBefore(now));
--- /dev/null
+++ b/src/main/java/org/gullway/protocol/EndNotice.java
@@ -0,0 +1,58 @@
+package org.gullway.protocol;
+
+import java.io.ByteArrayInputStream;
+import java.io.ByteArrayOutputStream;
+import java.io.DataInputStream;
+import java.io.DataOutputStream;
+import java.io.IOException;
+import java.io.UncheckedIOException;
+import java.util.ArrayList;
+import java.util.List;
+
+/**
+ * An attempt that has certainly ended, on its way from the controller of its machine to the keeper of its job. Such
+ * an end stays true for ever, so it may come late and more than once.
+ */
+public record EndNotice(TaskId task, long attempt, byte end) {
+    public static final int MOST_TOGETHER = 500;
+    private static final int VERSION = 1;
+
+    public static byte[] encode(List<EndNotice> notices) {
+        ByteArrayOutputStream bytes = new ByteArrayOutputStream(32 * notices.size());
+        try (DataOutputStream out = new DataOutputStream(bytes)) {
+            out.writeByte(VERSION);
+            out.writeShort(notices.size());
+            for (EndNotice notice : notices) {
+                out.writeUTF(notice.task.job());
+                out.writeInt(notice.task.index());
+                out.writeLong(notice.attempt);
+                out.writeByte(notice.end);
+            }
+        } catch (IOException e) {
+            throw new UncheckedIOException(e);
+        }
+        return bytes.toByteArray();
+    }
+
+    public static List<EndNotice> decode(byte[] body) throws MalformedException {
+        try (DataInputStream in = new DataInputStream(new ByteArrayInputStream(body))) {
+            if (in.readUnsignedByte() != VERSION) {
+                throw new MalformedException("unknown version of ends");
+            }
+            int count = in.readUnsignedShort();
+            if (count > MOST_TOGETHER) {
+                throw new MalformedException("too many ends together");
+            }
+            List<EndNotice> notices = new ArrayList<>(count);
+            for (int i = 0; i < count; i++) {
+                notices.add(new EndNotice(new TaskId(in.readUTF(), in.readInt()), in.readLong(), in.readByte()));
+            }
+            if (in.read() >= 0) {
+                throw new MalformedException("bytes after ends");
+            }
+            return notices;
+        } catch (IOException e) {
+            throw new MalformedException("cut-off ends");
+        }
+    }
+}
--- a/src/main/java/org/gullway/protocol/Offer.java
+++ b/src/main/java/org/gullway/protocol/Offer.java
@@ -9,20 +9,24 @@
 import java.util.ArrayList;
 import java.util.List;
 
-/** Spare room that fitted nothing in one controller's queue, on its way to a peer. */
+/** Spare room that fitted nothing in one controller's queue, on its way to a peer, together with others. */
 public record Offer(String machine, long session, List<String> askedAlready) {
-    private static final int VERSION = 1;
+    public static final int MOST_TOGETHER = 128;
+    private static final int VERSION = 2;
     private static final int MOST_ASKED = 64;
 
-    public byte[] encode() {
-        ByteArrayOutputStream bytes = new ByteArrayOutputStream(64);
+    public static byte[] encode(List<Offer> offers) {
+        ByteArrayOutputStream bytes = new ByteArrayOutputStream(64 * offers.size());
         try (DataOutputStream out = new DataOutputStream(bytes)) {
             out.writeByte(VERSION);
-            out.writeUTF(machine);
-            out.writeLong(session);
-            out.writeByte(askedAlready.size());
-            for (String name : askedAlready) {
-                out.writeUTF(name);
+            out.writeShort(offers.size());
+            for (Offer offer : offers) {
+                out.writeUTF(offer.machine);
+                out.writeLong(offer.session);
+                out.writeByte(offer.askedAlready.size());
+                for (String name : offer.askedAlready) {
+                    out.writeUTF(name);
+                }
             }
         } catch (IOException e) {
             throw new UncheckedIOException(e);
@@ -30,27 +34,39 @@
         return bytes.toByteArray();
     }
 
-    public static Offer decode(byte[] body) throws MalformedException {
+    public static List<Offer> decode(byte[] body) throws MalformedException {
         try (DataInputStream in = new DataInputStream(new ByteArrayInputStream(body))) {
             if (in.readUnsignedByte() != VERSION) {
-                throw new MalformedException("unknown version of an offer");
+                throw new MalformedException("unknown version of offers");
             }
-            String machine = in.readUTF();
-            long session = in.readLong();
-            int asked = in.readUnsignedByte();
-            if (asked > MOST_ASKED) {
-                throw new MalformedException("an offer that was passed on too often");
+            int count = in.readUnsignedShort();
+            if (count > MOST_TOGETHER) {
+                throw new MalformedException("too many offers together");
             }
-            List<String> names = new ArrayList<>(asked);
-            for (int i = 0; i < asked; i++) {
-                names.add(in.readUTF());
+            List<Offer> offers = new ArrayList<>(count);
+            for (int i = 0; i < count; i++) {
+                offers.add(read(in));
             }
             if (in.read() >= 0) {
-                throw new MalformedException("bytes after an offer");
+                throw new MalformedException("bytes after offers");
             }
-            return new Offer(machine, session, List.copyOf(names));
+            return offers;
         } catch (IOException e) {
-            throw new MalformedException("a cut-off offer");
+            throw new MalformedException("cut-off offers");
         }
     }
+
+    private static Offer read(DataInputStream in) throws IOException, MalformedException {
+        String machine = in.readUTF();
+        long session = in.readLong();
+        int asked = in.readUnsignedByte();
+        if (asked > MOST_ASKED) {
+            throw new MalformedException("an offer that was passed on too often");
+        }
+        List<String> names = new ArrayList<>(asked);
+        for (int i = 0; i < asked; i++) {
+            names.add(in.readUTF());
+        }
+        return new Offer(machine, session, List.copyOf(names));
+    }
 }
--- a/src/main/java/org/gullway/transport/Budget.java
+++ b/src/main/java/org/gullway/transport/Budget.java
@@ -11,17 +11,29 @@
     private static final double PART = 0.6;
 
     private final EventLoop loop;
-    private final double perSecond;
+    private final double limitPerSecond;
+    private double perSecond;
     private double left;
     private Instant at;
 
     public Budget(EventLoop loop, double limitPerSecond) {
         this.loop = loop;
-        this.perSecond = Math.max(1, limitPerSecond * PART);
+        this.limitPerSecond = limitPerSecond;
+        take(PART);
         this.left = perSecond;
         this.at = loop.now();
     }
 
+    /** Changes the part of the limit that this controller may use. */
+    public void take(double part) {
+        perSecond = Math.max(1, limitPerSecond * part);
+    }
+
+    /** Whether much of what a second brings is unused. */
+    public boolean plenty() {
+        return available() && left >= perSecond / 2;
+    }
+
     /** Whether anything may be asked now; spending may go below zero and is earned back. */
     public boolean available() {
         Instant now = loop.now();
