A late answer to an own commit does not bring back what was removed since

Excluded: shares of the limit, closed machines, the store (5 ms answers). The view now ignores what the watch has passed, and a second refusal for the same mark makes the ledger read anew.

--- a/src/main/java/org/gullway/Controller.java
+++ b/src/main/java/org/gullway/Controller.java
@@ -296,7 +296,7 @@
             return;
         }
         ledger.commit(made, result -> {
-            metrics.committed(result.committed(), Duration.between(now, loop.now()));
+            metrics.committed(result.committed(), made.changes().keySet(), Duration.between(now, loop.now()));
             if (result.committed()) {
                 users.committed(made);
             } else {
--- a/src/main/java/org/gullway/Metrics.java
+++ b/src/main/java/org/gullway/Metrics.java
@@ -4,8 +4,10 @@
 import io.micrometer.core.instrument.MeterRegistry;
 import io.micrometer.core.instrument.simple.SimpleMeterRegistry;
 import java.time.Duration;
+import java.util.Set;
 import java.util.concurrent.TimeUnit;
 import org.HdrHistogram.Histogram;
+import org.gullway.coordination.Keys;
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
 
@@ -19,6 +21,9 @@
     private final Counter refusals = registry.counter("commits.refused");
     private final Counter pushes = registry.counter("pushes");
     private final Counter offers = registry.counter("offers");
+    private final Counter jobChanges = registry.counter("changes.jobs");
+    private final Counter groupChanges = registry.counter("changes.groups");
+    private final Counter otherChanges = registry.counter("changes.other");
     private final Histogram acceptance = new Histogram(LONGEST_MS, 2);
     private final Histogram commit = new Histogram(LONGEST_MS, 2);
     private final Histogram round = new Histogram(LONGEST_MS, 2);
@@ -31,9 +36,12 @@
         record(acceptance, time);
     }
 
-    void committed(boolean done, Duration time) {
+    void committed(boolean done, Set<String> keys, Duration time) {
         (done ? commits : refusals).increment();
         record(commit, time);
+        for (String key : keys) {
+            (key.startsWith(Keys.JOBS) ? jobChanges : key.startsWith(Keys.GROUPS) ? groupChanges : otherChanges).increment();
+        }
     }
 
     void round(Duration time) {
@@ -49,9 +57,10 @@
     }
 
     void log(String situation) {
-        LOG.info("{} accepted={} p99={}ms commits={} refused={} p50={}ms p99={}ms rounds={} max={}ms pushes={} offers={}",
+        LOG.info("{} accepted={} p99={}ms commits={} refused={} changes={}/{}/{} p50={}ms p99={}ms rounds={} max={}ms pushes={} offers={}",
                 situation, acceptance.getTotalCount(), acceptance.getValueAtPercentile(99),
                 (long) commits.count(), (long) refusals.count(),
+                (long) jobChanges.count(), (long) groupChanges.count(), (long) otherChanges.count(),
                 commit.getValueAtPercentile(50), commit.getValueAtPercentile(99),
                 round.getTotalCount(), round.getMaxValue(), (long) pushes.count(), (long) offers.count());
         acceptance.reset();
--- a/src/main/java/org/gullway/bookkeeping/Ledger.java
+++ b/src/main/java/org/gullway/bookkeeping/Ledger.java
@@ -71,6 +71,7 @@
     /** Revision that the watch has to reach before the view is good enough for another commit. */
     private long awaited;
     private Instant awaitedSince;
+    private final Map<String, Refusal> refusals = new HashMap<>();
     private long watchRun;
     private int renewals;
 
@@ -327,9 +328,13 @@
         committing = true;
         changes.spend(draft.changes().size());
         long lease = membership.lease();
-        store.commit(draft.guards(), view::mark, draft.changes(), lease, outcome -> {
+        long knownTo = view.watched();
+        Map<String, Long> marks = new HashMap<>();
+        draft.guards().forEach(key -> marks.put(key, view.mark(key)));
+        store.commit(draft.guards(), marks::get, draft.changes(), lease, outcome -> {
             if (outcome.is(200)) {
                 committing = false;
+                refusals.clear();
                 long revision = outcome.revision();
                 draft.changes().forEach((key, value) -> {
                     if (value == null) {
@@ -350,7 +355,7 @@
                 Set<String> failed = Set.of();
                 if (outcome.is(409)) {
                     failed = failedGuards(outcome);
-                    refused(failed, outcome.revision(), lease);
+                    refused(failed, outcome.revision(), lease, marks, knownTo);
                 } else {
                     commitNotBefore = loop.now().plus(BUSY_RETRY);
                     loop.after(BUSY_RETRY, changed);
@@ -369,15 +374,32 @@
         return failed;
     }
 
-    private void refused(Set<String> failed, long revision, long lease) {
+    private void refused(Set<String> failed, long revision, long lease, Map<String, Long> marks, long knownTo) {
         LOG.debug("guards failed: {}", failed);
         if (failed.contains(memberKey()) && lease == membership.lease()) {
             join();
+            return;
+        }
+        // A refusal for the same mark of a key, though the watch has passed the first one, means that the view is
+        // wrong about that key; it would be refused for ever.
+        boolean wrong = false;
+        for (String key : failed) {
+            Refusal before = refusals.put(key, new Refusal(marks.get(key), revision));
+            wrong |= key.startsWith(Keys.LIVE) && before != null && before.mark() == marks.get(key)
+                    && knownTo >= before.revision();
+        }
+        if (wrong) {
+            LOG.error("refused again for {}, which the watch should have brought; reading anew", failed);
+            refusals.clear();
+            readAll();
         } else {
             await(revision);
         }
     }
 
+    private record Refusal(long mark, long revision) {
+    }
+
     private void await(long revision) {
         if (view.watched() < revision) {
             awaited = revision;
--- a/src/main/java/org/gullway/coordination/ClusterView.java
+++ b/src/main/java/org/gullway/coordination/ClusterView.java
@@ -86,9 +86,13 @@
         closed = Set.of();
     }
 
-    /** Takes a value with its mark; an older or equal mark than the known one changes nothing. */
+    /**
+     * Takes a value with its mark; an older or equal mark than the known one changes nothing. Nor does one that the
+     * watch has passed: the answer to an own commit can come after another controller's removal of the same key, and
+     * once brought a finished job back for good, whose record then refused every commit (senderos-altos-grown steady).
+     */
     public boolean put(String key, Object value, long mark) {
-        if (marks.getOrDefault(key, 0L) >= mark || removed.getOrDefault(key, 0L) >= mark) {
+        if (mark <= watched || marks.getOrDefault(key, 0L) >= mark || removed.getOrDefault(key, 0L) >= mark) {
             return false;
         }
         marks.put(key, mark);
--- a/src/test/java/org/gullway/bookkeeping/LedgerTest.java
+++ b/src/test/java/org/gullway/bookkeeping/LedgerTest.java
@@ -74,6 +74,25 @@
         assertThat(committed).isBetween(100, 30 * 10);
     }
 
+    /** Whatever made the view wrong about a key, refusals for it must not go on for ever. */
+    @Test
+    void readsAnewWhenItIsRefusedForAKeyThatItDoesNotKnowBetter() {
+        view.put(Keys.LEADER, Samples.PEER, view.watched() + 1_000_000);
+        view.watchedTo(view.watched());
+        for (int i = 0; i < 300 && view.leader() != null; i++) {
+            if (ledger.ready()) {
+                Draft draft = draft();
+                draft.rely(Keys.LEADER);
+                ledger.commit(draft, result -> { });
+            }
+            time.runUntil(time.now().plusMillis(100));
+        }
+        assertThat(view.leader()).isNull();
+        ledger.commit(draft(), result -> { });
+        run(1);
+        assertThat(view.epoch()).isEqualTo(1);
+    }
+
     @Test
     void isNotEntitledWithoutTheStoreAndIsAgainAfterwards() {
         store.setDown(true);
--- a/src/test/java/org/gullway/coordination/MachineControlTest.java
+++ b/src/test/java/org/gullway/coordination/MachineControlTest.java
@@ -47,6 +47,7 @@
     private void place(JobRequest request) {
         view.put(Keys.job(request.id()), Samples.placed(JobRecord.accepted(request, "perch-0", Samples.DAY),
                 Samples.DAY, "vm-1"), ++revision);
+        view.watchedTo(revision);
     }
 
     @Test
--- a/src/test/java/org/gullway/coordination/Samples.java
+++ b/src/test/java/org/gullway/coordination/Samples.java
@@ -44,6 +44,7 @@
     public static void put(ClusterView view, MachineRecord machine, long mark) {
         view.put(Keys.group("g-" + machine.name()),
                 new GroupRecord("g-" + machine.name(), machine.controller(), machine.epoch(), List.of(machine)), mark);
+        view.watchedTo(mark);
     }
 
     /** A job with one task on each of these machines, in session 1. */
@@ -63,7 +64,7 @@
         view.put(Keys.LEADERS_SHARE, all, 5);
         view.put(Keys.share(SELF.node()), all, 6);
         view.put(Keys.share(PEER.node()), all, 7);
-        view.watchedTo(1000);
+        view.watchedTo(8);
         return view;
     }
 
@@ -76,5 +77,6 @@
                 view.put(key, value, revision);
             }
         });
+        view.watchedTo(revision);
     }
 }
