--- a/src/main/java/org/gullway/Controller.java
+++ b/src/main/java/org/gullway/Controller.java
@@ -124,12 +124,13 @@
     private void addSteps() {
         steps.add("requests", () -> users.propose(draft, draft.timeOfDay()))
                 .add("machines", () -> machines.propose(draft, loop.now()))
-                .add("ends", () -> ended.propose(draft, ledger.plenty(), loop.now()))
+                .add("finished jobs", () -> ended.finish(draft))
                 .add("shares", () -> shares.propose(draft, leads(), loop.now()))
                 .add("repair", () -> repair.propose(draft, leads(), loop.now()))
                 .add("arrivals", () -> ifLeading(() -> cloud.propose(draft, draft.timeOfDay())))
                 .add("booking", () -> ifLeading(() -> booking.propose(draft, loop.now())))
                 .add("queue", () -> queue.propose(draft, machines.ready(loop.now()), loop.now()).forEach(this::send))
+                .add("ends", () -> ended.propose(draft, ledger.plenty(), loop.now()))
                 .add("fleet", () -> ifLeading(() -> fleet.propose(draft, loop.now(), draft.timeOfDay())));
     }
 
@@ -281,7 +282,8 @@
     }
 
     private void decide(Instant now) {
-        Draft made = new Draft(view, self, limits, timeOfDay.instant());
+        ledger.share(leads());
+        Draft made = new Draft(view, self, limits.atMost(ledger.changesLeft()), timeOfDay.instant());
         draft = made;
         if (view.leader() == null) {
             made.put(Keys.LEADER, self);
@@ -289,7 +291,6 @@
             // A former leader whose membership lapsed may be a member again before it hears of its successor.
             made.rely(Keys.LEADER);
         }
-        ledger.share(leads());
         steps.run(loop::now);
         ended.join(made);
         if (made.isEmpty()) {
--- a/src/main/java/org/gullway/bookkeeping/Ledger.java
+++ b/src/main/java/org/gullway/bookkeeping/Ledger.java
@@ -298,6 +298,11 @@
         changes.take(pace.part(leading));
     }
 
+    /** How many changes a commit may hold now: what comes next should never wait long for the budget to recover. */
+    public int changesLeft() {
+        return changes.left();
+    }
+
     /** Whether changes that could wait may be committed as well. */
     public boolean plenty() {
         return changes.plenty();
--- a/src/main/java/org/gullway/coordination/Draft.java
+++ b/src/main/java/org/gullway/coordination/Draft.java
@@ -28,11 +28,17 @@
     }
 
     /** Limits of one commit of the state store. */
-    public record Limits(int changes, int valueBytes) {
+    public record Limits(int changes, int guards, int valueBytes) {
         private static final int COMMIT_BYTES = 48 * 1024;
 
-        int guards() {
-            return 4 * changes;
+        /** The limits that the state service sets: four conditions for each change. */
+        public Limits(int changes, int valueBytes) {
+            this(changes, 4 * changes, valueBytes);
+        }
+
+        /** The same for a commit of fewer changes; two are the least that can end a job. */
+        public Limits atMost(int fewer) {
+            return new Limits(Math.max(2, Math.min(changes, fewer)), guards, valueBytes);
         }
     }
 
--- a/src/main/java/org/gullway/coordination/EndedAttempts.java
+++ b/src/main/java/org/gullway/coordination/EndedAttempts.java
@@ -5,6 +5,7 @@
 import java.util.HashMap;
 import java.util.Iterator;
 import java.util.Map;
+import java.util.function.BiPredicate;
 import org.gullway.coordination.JobRecord.End;
 
 /**
@@ -43,21 +44,30 @@
         return waiting != null && waiting.ends.containsKey(attempt);
     }
 
-    /** Records ends of jobs that are over with them or have waited long; all others if changes are plentiful. */
+    /** Ends the jobs that are over with the ends known here: users wait for that. */
+    public void finish(Draft draft) {
+        propose(draft, (job, waiting) -> job.cancelled() || job.done().size() + waiting.ends.size() >= job.request().tasks());
+    }
+
+    /** Records the ends of jobs that go on: at once if changes are plentiful, or else when they have waited long. */
     public void propose(Draft draft, boolean plenty, Instant now) {
+        propose(draft, (job, waiting) -> plenty || waiting.since.plus(LONGEST_KEPT).isBefore(now));
+    }
+
+    private void propose(Draft draft, BiPredicate<JobRecord, Waiting> due) {
         for (Iterator<Map.Entry<String, Waiting>> it = byJob.entrySet().iterator(); it.hasNext();) {
             Map.Entry<String, Waiting> entry = it.next();
             JobRecord known = view.job(entry.getKey());
-            Map<Placement, End> ends = known == null ? Map.of() : current(known, entry.getValue().ends);
-            if (ends.isEmpty()) {
-                it.remove();
-                continue;
-            }
             JobRecord job = draft.job(entry.getKey());
-            boolean due = plenty || job == null || job.cancelled() || job.done().size() + ends.size() >= job.request().tasks()
-                    || entry.getValue().since.plus(LONGEST_KEPT).isBefore(now);
-            if (job != null && due && draft.canPutJob(entry.getKey())) {
-                draft.putJob(job.ended(current(job, entry.getValue().ends)));
+            if (known == null) {
+                it.remove();
+            } else if (job != null && due.test(job, entry.getValue()) && draft.canPutJob(entry.getKey())) {
+                Map<Placement, End> ends = current(job, entry.getValue().ends);
+                if (!ends.isEmpty()) {
+                    draft.putJob(job.ended(ends));
+                } else if (job == known) {
+                    it.remove();
+                }
             }
         }
     }
--- a/src/main/java/org/gullway/transport/Budget.java
+++ b/src/main/java/org/gullway/transport/Budget.java
@@ -29,6 +29,11 @@
         perSecond = Math.max(1, limitPerSecond * part);
     }
 
+    /** How much may be asked now without going below zero. */
+    public int left() {
+        return available() ? (int) left : 0;
+    }
+
     /** Whether much of what a second brings is unused. */
     public boolean plenty() {
         return available() && left >= perSecond / 2;
--- a/src/test/java/org/gullway/coordination/MachineControlTest.java
+++ b/src/test/java/org/gullway/coordination/MachineControlTest.java
@@ -39,6 +39,7 @@
         Draft draft = new Draft(view, Samples.SELF, Samples.LIMITS, Samples.DAY);
         control.pushes(now);
         control.propose(draft, now);
+        ended.finish(draft);
         ended.propose(draft, true, now);
         Samples.commit(view, draft, ++revision);
         return draft;
