--- a/src/main/java/org/gullway/bookkeeping/Ledger.java
+++ b/src/main/java/org/gullway/bookkeeping/Ledger.java
@@ -310,7 +310,7 @@
 
     /** Whether a draft could be committed now. */
     public boolean ready() {
-        if (!entitled() || committing || loop.now().isBefore(commitNotBefore) || !changes.available()) {
+        if (!entitled() || committing || loop.now().isBefore(commitNotBefore) || !changes.gathered()) {
             return false;
         }
         if (view.watched() < Math.max(view.mark(memberKey()), self().equals(view.leader()) ? view.mark(Keys.LEADER) : 0)) {
--- a/src/main/java/org/gullway/coordination/Grouping.java
+++ b/src/main/java/org/gullway/coordination/Grouping.java
@@ -48,7 +48,7 @@
             groups.remove(groups.size() - 1);
             return add(machine);
         }
-        if (!draft.hasRoomFor(2)) {
+        if (!draft.hasRoomFor(2) && (group == null || !draft.changes().containsKey(Keys.group(group.id())))) {
             return false;
         }
         if (group == null) {
--- a/src/main/java/org/gullway/transport/Budget.java
+++ b/src/main/java/org/gullway/transport/Budget.java
@@ -31,20 +31,29 @@
 
     /** How much may be asked now without going below zero. */
     public int left() {
-        return available() ? (int) left : 0;
+        return (int) Math.max(0, earn());
     }
 
     /** Whether much of what a second brings is unused. */
     public boolean plenty() {
-        return available() && left >= perSecond / 2;
+        return earn() >= perSecond / 2;
     }
 
     /** Whether anything may be asked now; spending may go below zero and is earned back. */
     public boolean available() {
+        return earn() >= 1;
+    }
+
+    /** Whether enough is left that several things can be asked for together. */
+    public boolean gathered() {
+        return earn() >= Math.max(1, perSecond / 4);
+    }
+
+    private double earn() {
         Instant now = loop.now();
         left = Math.min(perSecond, left + Duration.between(at, now).toMillis() / 1000.0 * perSecond);
         at = now;
-        return left >= 1;
+        return left;
     }
 
     public void spend(int count) {
--- a/src/test/java/org/gullway/SimulatedDaysTest.java
+++ b/src/test/java/org/gullway/SimulatedDaysTest.java
@@ -3,13 +3,11 @@
 import static org.assertj.core.api.Assertions.assertThat;
 
 import java.time.Duration;
-import java.util.List;
 import java.util.SplittableRandom;
 import net.jqwik.api.ForAll;
 import net.jqwik.api.Property;
 import net.jqwik.api.constraints.LongRange;
 import org.gullway.protocol.Rank;
-import org.gullway.standin.StandInWorker;
 import org.junit.jupiter.api.Test;
 
 /** Whole days in virtual time: whatever fails, the rules hold, and afterwards all work gets done. */
@@ -70,41 +68,19 @@
         work(world, random.split(), 25, Duration.ofSeconds(120));
         int troubles = 2 + random.nextInt(5);
         for (int i = 0; i < troubles; i++) {
-            world.after(Duration.ofMillis(10_000 + random.nextInt(120_000)), trouble(world, random.split()));
+            Duration span = Duration.ofMillis(500 + random.nextInt(30_000));
+            Trouble trouble = Trouble.values()[random.nextInt(Trouble.values().length)];
+            SplittableRandom own = random.split();
+            world.after(Duration.ofMillis(10_000 + random.nextInt(120_000)), () -> trouble.strike(world, own, span));
+        }
+        for (int i = 0; i < 10; i++) {
+            world.after(Duration.ofSeconds(20 + random.nextInt(500)), () ->
+                    world.users().forEach(SimulatedWorld.User::submitAgain));
         }
         world.run(Duration.ofSeconds(200));
-        world.network.heal();
-        world.store.setDown(false);
+        world.calm();
         world.run(Duration.ofSeconds(600));
         assertThat(world.broken).as("seed %d", seed).isEmpty();
         assertThat(world.unfinished()).as("seed %d", seed).isEmpty();
     }
-
-    private static Runnable trouble(SimulatedWorld world, SplittableRandom random) {
-        String node = "perch-" + random.nextInt(3);
-        Duration span = Duration.ofMillis(500 + random.nextInt(30_000));
-        return switch (random.nextInt(8)) {
-            case 0 -> () -> world.crash(node, Duration.ofMillis(200 + random.nextInt(6000)));
-            case 1 -> () -> List.of("perch-0", "perch-1", "perch-2")
-                    .forEach(name -> world.crash(name, Duration.ofMillis(200 + random.nextInt(6000))));
-            case 2 -> () -> {
-                world.store.setDown(true);
-                world.after(span, () -> world.store.setDown(false));
-            };
-            case 3 -> () -> cut(world, node, "10.2.0.1:2379", span);
-            case 4 -> () -> cut(world, node, "*", span);
-            case 5 -> () -> world.cloud.workers().stream().limit(1 + random.nextInt(3)).forEach(StandInWorker::die);
-            case 6 -> () -> world.cloud.workers().stream().filter(w -> w.kind().spot())
-                    .limit(1 + random.nextInt(5)).forEach(world.cloud::take);
-            default -> () -> world.cloud.workers().stream().limit(1 + random.nextInt(2)).forEach(worker -> {
-                cut(world, worker.name(), "*", span);
-                cut(world, "*", worker.address(), span);
-            });
-        };
-    }
-
-    private static void cut(SimulatedWorld world, String from, String to, Duration span) {
-        world.network.cut(from, to);
-        world.after(span, world.network::heal);
-    }
 }
--- a/src/test/java/org/gullway/SimulatedWorld.java
+++ b/src/test/java/org/gullway/SimulatedWorld.java
@@ -43,13 +43,28 @@
     private final SimulatedTime.Process world = time.process();
     private final Map<String, SimulatedTime.Process> running = new HashMap<>();
     private final Map<String, String> addresses = new LinkedHashMap<>();
-    private final Map<String, Settings.Team> teams = Map.of(
-            "red", new Settings.Team("red", 16, 24, 0, 0), "blue", new Settings.Team("blue", 16, 64, 0, 0));
     private final Map<String, User> users = new LinkedHashMap<>();
     /** Machines on which a task is now. */
     private final Map<String, Set<String>> places = new HashMap<>();
+    private final Map<String, Double> used = new HashMap<>();
     private final Set<String> completed = new HashSet<>();
+    private final Map<String, Instant> began = new HashMap<>();
     private int started;
+    private Instant quietSince;
+    private final Shape shape;
+
+    /** A job about which no question is answered for so long after all troubles is forgotten. */
+    private static final Duration FORGOTTEN = Duration.ofSeconds(75);
+
+    /** Size of a world: machines of each type, zone and kind, teams, and how often workers report. */
+    record Shape(int capacity, Map<String, Settings.Team> teams, Duration report, double trouble) {
+        static final Map<String, Settings.Team> SMALL_TEAMS = Map.of(
+                "red", new Settings.Team("red", 16, 24, 0, 0), "blue", new Settings.Team("blue", 16, 64, 0, 0));
+
+        static Shape small(double trouble, int capacity) {
+            return new Shape(capacity, SMALL_TEAMS, Duration.ofSeconds(3), trouble);
+        }
+    }
 
     /** A job with what its user was told. */
     final class User {
@@ -107,10 +122,17 @@
             });
         }
 
+        private Instant answered;
+
         private void poll() {
             Instant asked = time.now();
+            if (quietSince != null && quietSince.plus(FORGOTTEN).isBefore(asked)
+                    && (answered == null || answered.plus(FORGOTTEN).isBefore(asked))) {
+                broken.add("forgotten: nothing is answered about " + request.id());
+            }
             client.call(node(), Reply.Request.get("/v2/runs/" + request.id(), Duration.ofSeconds(2)), reply -> {
                 if (reply.status() == 200) {
+                    answered = time.now();
                     hear(reply, asked);
                 } else if (reply.status() == 404) {
                     broken.add("forgotten: " + request.id());
@@ -119,6 +141,30 @@
             world.after(Duration.ofSeconds(over() ? 25 : 5), this::poll);
         }
 
+        /** A submission that is repeated at any later time is answered with the job's state. */
+        void submitAgain() {
+            if (!accepted) {
+                return;
+            }
+            Instant asked = time.now();
+            client.call(node(), Reply.Request.post("/v2/runs", Cbor.encode(request.toNode()), Duration.ofSeconds(5)),
+                    reply -> {
+                        if (reply.status() == 200) {
+                            hear(reply, asked);
+                        } else if (reply.status() == 201 || reply.status() == 400 || reply.status() == 422) {
+                            broken.add("forgotten: " + request.id() + " submitted again: " + reply.status());
+                        }
+                    });
+        }
+
+        /** Time from the submission until the first task began; null if none has. */
+        Duration waited() {
+            Instant first = began.get(request.id());
+            return first == null ? null : Duration.between(submitted, first);
+        }
+
+        private final Instant submitted = time.now();
+
         private Instant toldAt = Instant.MIN;
 
         private void hear(Reply reply, Instant asked) {
@@ -158,8 +204,13 @@
     }
 
     SimulatedWorld(long seed, double trouble, int capacity) {
+        this(seed, Shape.small(trouble, capacity));
+    }
+
+    SimulatedWorld(long seed, Shape shape) {
+        this.shape = shape;
         random = new SplittableRandom(seed);
-        network = new SimulatedNetwork(time, random.split(), trouble);
+        network = new SimulatedNetwork(time, random.split(), shape.trouble());
         store = new StandInStore(world);
         List<MachineType> types = List.of(
                 new MachineType("small", 16, 0, 64, 50, 1, 1.0, 0.3, Duration.ofSeconds(6), List.of("a", "b")),
@@ -167,10 +218,10 @@
         for (int i = 0; i < 3; i++) {
             addresses.put("perch-" + i, "10.0.0." + (i + 1) + ":8080");
         }
-        cloud = new StandInCloud(world, types, capacity, (name, kind) -> {
+        cloud = new StandInCloud(world, types, shape.capacity(), (name, kind) -> {
             String address = "10.1.0." + Integer.parseInt(name.substring(3)) + ":9000";
             StandInWorker worker = new StandInWorker(world, network.client(name, world), new Rules(), random.split(),
-                    name, address, kind, addresses, Duration.ofSeconds(3), LEASE);
+                    name, address, kind, addresses, shape.report(), LEASE);
             network.listen(address, world, worker::handle);
             return worker;
         });
@@ -205,6 +256,7 @@
         @Override
         public void began(String machine, String task) {
             started++;
+            began.putIfAbsent(task.substring(0, task.indexOf('/')), time.now());
             Set<String> on = places.computeIfAbsent(task, t -> new HashSet<>());
             if (!on.isEmpty()) {
                 broken.add("ran_twice: " + task + " starts on " + machine + " while on " + on);
@@ -214,24 +266,23 @@
             if (user.cancelTold != null && time.now().isAfter(user.cancelTold.plus(CANCEL))) {
                 broken.add("ran_cancelled: " + task + " starts");
             }
-            StandInWorker worker = cloud.workers().stream().filter(w -> w.name().equals(machine)).findFirst().orElse(null);
+            StandInWorker worker = cloud.worker(machine);
             if (worker != null && worker.kind().spot() && !user.request.spot()) {
                 broken.add("wrong_place: " + task + " on " + machine);
             }
             String team = user.request.team();
-            double use = 0;
-            for (Map.Entry<String, Set<String>> place : places.entrySet()) {
-                User other = users.get(place.getKey().substring(0, place.getKey().indexOf('/')));
-                use += other.request.team().equals(team) ? place.getValue().size() * other.request.cpus() : 0;
-            }
-            if (use > teams.get(team).cpusMax() + 1e-6) {
+            double use = used.merge(team, user.request.cpus(), Double::sum);
+            if (use > shape.teams().get(team).cpusMax() + 1e-6) {
                 broken.add("quota: " + team + " uses " + use);
             }
         }
 
         @Override
         public void ended(String machine, String task, boolean done) {
-            places.getOrDefault(task, Set.of()).remove(machine);
+            JobRequest request = users.get(task.substring(0, task.indexOf('/'))).request;
+            if (places.getOrDefault(task, Set.of()).remove(machine)) {
+                used.merge(request.team(), -request.cpus(), Double::sum);
+            }
             if (done) {
                 completed.add(task);
             }
@@ -247,7 +298,8 @@
         List<Settings.Peer> peers = addresses.entrySet().stream().filter(e -> !e.getKey().equals(name))
                 .map(e -> new Settings.Peer(e.getKey(), "a", e.getValue().replace("8080", "8081"))).toList();
         Settings settings = new Settings(name, "a", addresses.get(name), addresses.get(name).replace("8080", "8081"),
-                peers, CLOUD, STATE, teams, List.of(), Duration.ofSeconds(3), LEASE, CANCEL, 150, 30, 16 * 1024, 24, 10,
+                peers, CLOUD, STATE, shape.teams(), List.of(), shape.report(), LEASE, CANCEL, 150, StandInStore.CHANGES_PER_SECOND,
+                StandInStore.VALUE_BYTES, StandInStore.CHANGES_PER_COMMIT, 10,
                 Duration.ofSeconds(3), 1000);
         long skew = random.nextInt(2000) - 1000;
         InstantSource clock = () -> MORNING.plusMillis(skew).plus(Duration.between(Instant.EPOCH, time.now()));
@@ -268,6 +320,33 @@
         }
     }
 
+    /** All troubles are over: from now on every job is known and nothing is forgotten. */
+    void calm() {
+        network.heal();
+        store.setDown(false);
+        quietSince = time.now();
+    }
+
+    List<String> nodes() {
+        return List.copyOf(addresses.keySet());
+    }
+
+    List<String> userAddresses() {
+        return List.copyOf(addresses.values());
+    }
+
+    String address(String node) {
+        return addresses.get(node);
+    }
+
+    String meshAddress(String node) {
+        return addresses.get(node).replace("8080", "8081");
+    }
+
+    static String stateAddress() {
+        return STATE;
+    }
+
     void submit(int number, String team, Rank rank, int tasks, double cpus, Duration runTime) {
         String id = String.format("run-%06d", number);
         JobRequest request = new JobRequest(id, "render", team, JobRequest.Shape.ARRAY, rank, tasks, cpus, 0, cpus,
--- a/src/test/java/org/gullway/standin/SimulatedNetwork.java
+++ b/src/test/java/org/gullway/standin/SimulatedNetwork.java
@@ -3,6 +3,7 @@
 import java.time.Duration;
 import java.util.HashMap;
 import java.util.HashSet;
+import java.util.List;
 import java.util.Map;
 import java.util.Set;
 import java.util.function.Consumer;
@@ -26,6 +27,11 @@
     private final Map<String, Host> hosts = new HashMap<>();
     /** Pairs "from>to" of groups that cannot reach each other; a group is an address or a client's name. */
     private final Set<String> cuts = new HashSet<>();
+    private final Set<String> unanswered = new HashSet<>();
+    private double copied;
+    private String copiedPath;
+    private Duration copiedLater;
+    private List<String> copiedTo;
 
     /** @param trouble share of messages that are late, or repeated */
     public SimulatedNetwork(SimulatedTime time, RandomGenerator random, double trouble) {
@@ -49,6 +55,29 @@
 
     public void heal() {
         cuts.clear();
+        unanswered.clear();
+        copied = 0;
+    }
+
+    public void heal(String from, String to) {
+        cuts.remove(from + ">" + to);
+    }
+
+    /** Requests of this client arrive, but no answer reaches it. */
+    public void unanswered(String client, boolean on) {
+        if (on) {
+            unanswered.add(client);
+        } else {
+            unanswered.remove(client);
+        }
+    }
+
+    /** From now on this share of the requests for a path is delivered again, up to so much later, to any of these. */
+    public void copyLate(double share, String path, Duration most, List<String> addresses) {
+        copied = share;
+        copiedPath = path;
+        copiedLater = most;
+        copiedTo = addresses;
     }
 
     private boolean isCut(String from, String to) {
@@ -83,6 +112,10 @@
             delay = Duration.ofMillis(random.nextInt(9000));
         }
         deliver(from, process, address, request, finish, delay);
+        if (copied > 0 && request.path().equals(copiedPath) && random.nextDouble() < copied) {
+            deliver(from, process, copiedTo.get(random.nextInt(copiedTo.size())), request, reply -> { },
+                    Duration.ofMillis(500 + random.nextLong(copiedLater.toMillis())));
+        }
         if (random.nextDouble() < trouble) {
             deliver(from, process, address, request, reply -> { }, Duration.ofMillis(20 + random.nextInt(20_000)));
         }
@@ -115,7 +148,7 @@
     private void answer(String from, SimulatedTime.Process sender, String address, Consumer<Reply> finish, Reply reply) {
         wires.after(latency(), () -> {
             // An answer held back by a cut comes after the sender has given up, which is the same as never.
-            if (!isCut(from, address) && !sender.killed()) {
+            if (!isCut(from, address) && !unanswered.contains(from) && !sender.killed()) {
                 finish.accept(reply);
             }
         });
--- a/src/test/java/org/gullway/standin/StandInCloud.java
+++ b/src/test/java/org/gullway/standin/StandInCloud.java
@@ -55,6 +55,12 @@
         return machines.values().stream().map(m -> m.worker).filter(w -> w != null && w.alive()).toList();
     }
 
+    /** The worker of this machine, or null. */
+    public StandInWorker worker(String name) {
+        Machine machine = machines.get(name);
+        return machine == null ? null : machine.worker;
+    }
+
     public int rented() {
         return machines.size();
     }
@@ -146,13 +152,20 @@
     }
 
     private void list(Call call) {
-        ObjectNode node = Cbor.map().put("more", false);
+        ObjectNode node = Cbor.map();
         ArrayNode list = node.putArray("perches");
-        machines.forEach((name, machine) -> list.addObject().put("name_id", name).put("endpoint", "10.1.0.1:9000")
+        String from = call.query().replaceAll(".*from=([^&]*).*", "$1");
+        var rest = machines.tailMap(from, false);
+        node.put("more", rest.size() > 500);
+        rest.entrySet().stream().limit(500).forEach(entry -> add(list, entry.getKey(), entry.getValue()));
+        call.answer(200, Cbor.encode(node));
+    }
+
+    private void add(ArrayNode list, String name, Machine machine) {
+        list.addObject().put("name_id", name).put("endpoint", "10.1.0.1:9000")
                 .put("breed", machine.kind.type()).put("shore", machine.kind.zone())
                 .put("driftwood", machine.kind.spot())
                 .put("tide", machine.worker == null ? "booting" : machine.worker.alive() ? "running" : "failed")
-                .put("held_s", Duration.between(machine.rented, loop.now()).toMillis() / 1000.0));
-        call.answer(200, Cbor.encode(node));
+                .put("held_s", Duration.between(machine.rented, loop.now()).toMillis() / 1000.0);
     }
 }
--- a/src/test/java/org/gullway/standin/StandInStore.java
+++ b/src/test/java/org/gullway/standin/StandInStore.java
@@ -39,9 +39,21 @@
     private long revision;
     private long nextLease;
     private boolean down;
+    /** Changes by the first two parts of their keys, such as live/jobs. */
+    private final Map<String, Integer> changes = new TreeMap<>();
+    private int largestValue;
+    private double tokens;
+    private Instant tokensAt;
+
+    /** Limits of the settings; what goes over them is refused. */
+    public static final int CHANGES_PER_SECOND = 30;
+    public static final int CHANGES_PER_COMMIT = 24;
+    public static final int VALUE_BYTES = 16 * 1024;
 
     public StandInStore(EventLoop loop) {
         this.loop = loop;
+        this.tokens = CHANGES_PER_SECOND;
+        this.tokensAt = loop.now();
         loop.every(Duration.ofMillis(20), this::expire);
     }
 
@@ -58,6 +70,39 @@
         return entry == null ? null : entry.value();
     }
 
+    /** How often keys of this prefix were put or removed. */
+    public int changes(String prefix) {
+        return changes.entrySet().stream().filter(e -> e.getKey().startsWith(prefix)).mapToInt(Map.Entry::getValue).sum();
+    }
+
+    public int largestValue() {
+        return largestValue;
+    }
+
+    /** Whether the commit keeps the limits of the protocol; if not it is answered here. */
+    private boolean keepsLimits(Call call, ObjectNode body) {
+        boolean valid = body.path("then").size() <= CHANGES_PER_COMMIT
+                && body.path("guards").size() <= 4 * CHANGES_PER_COMMIT && body.toString().length() <= 64 * 1024;
+        for (JsonNode change : body.path("then")) {
+            int bytes = change.path("v").toString().length();
+            largestValue = Math.max(largestValue, bytes);
+            valid &= bytes <= VALUE_BYTES;
+        }
+        if (!valid) {
+            call.answer(400, Cbor.encode(Cbor.map().put("error", "over a limit")));
+            return false;
+        }
+        tokens = Math.min(CHANGES_PER_SECOND, tokens
+                + Duration.between(tokensAt, loop.now()).toMillis() / 1000.0 * CHANGES_PER_SECOND);
+        tokensAt = loop.now();
+        if (tokens < body.path("then").size()) {
+            call.answer(429, new byte[0]);
+            return false;
+        }
+        tokens -= body.path("then").size();
+        return true;
+    }
+
     private void expire() {
         if (down) {
             return;
@@ -152,6 +197,9 @@
     }
 
     private void commit(Call call, ObjectNode body) {
+        if (!keepsLimits(call, body)) {
+            return;
+        }
         ObjectNode failure = Cbor.map();
         ArrayNode failed = failure.putArray("failed");
         for (JsonNode guard : body.path("guards")) {
@@ -173,6 +221,8 @@
         if (!body.path("then").isEmpty()) {
             revision++;
             for (JsonNode change : body.path("then")) {
+                String[] parts = (change.has("remove") ? change.path("remove") : change.path("put")).asText().split("/");
+                changes.merge(parts.length > 1 ? parts[0] + "/" + parts[1] : parts[0], 1, Integer::sum);
                 if (change.has("remove")) {
                     if (entries.remove(change.path("remove").asText()) != null) {
                         history.add(new Event(change.path("remove").asText(), null, revision));
@@ -219,8 +269,12 @@
     private void answer(Watch watch) {
         ObjectNode node = Cbor.map().put("logline", revision);
         ArrayNode events = node.putArray("events");
-        for (Event event : history) {
-            if (event.mark() > watch.from() && event.key().startsWith(watch.prefix())) {
+        int first = history.size();
+        while (first > 0 && history.get(first - 1).mark() > watch.from()) {
+            first--;
+        }
+        for (Event event : history.subList(first, history.size())) {
+            if (event.key().startsWith(watch.prefix())) {
                 ObjectNode e = events.addObject().put("mark", event.mark());
                 if (event.value() == null) {
                     e.put("remove", event.key());
