--- a/src/main/java/org/gullway/bookkeeping/Ledger.java
+++ b/src/main/java/org/gullway/bookkeeping/Ledger.java
@@ -390,7 +390,8 @@
         boolean wrong = false;
         for (String key : failed) {
             Refusal before = refusals.put(key, new Refusal(marks.get(key), revision));
-            wrong |= key.startsWith(Keys.LIVE) && before != null && before.mark() == marks.get(key)
+            wrong |= key.startsWith(Keys.LIVE) && before != null && before.mark() > 0
+                    && before.mark() == marks.get(key)
                     && knownTo >= before.revision();
         }
         if (wrong) {
