--- a/src/main/java/org/gullway/Controller.java
+++ b/src/main/java/org/gullway/Controller.java
@@ -129,7 +129,7 @@
                 .add("repair", () -> repair.propose(draft, leads(), loop.now()))
                 .add("arrivals", () -> ifLeading(() -> cloud.propose(draft, draft.timeOfDay())))
                 .add("booking", () -> ifLeading(() -> booking.propose(draft, loop.now())))
-                .add("queue", () -> queue.propose(draft, machines.ready(loop.now()), loop.now()).forEach(this::send))
+                .add("queue", () -> queue.propose(draft, () -> machines.ready(loop.now()), loop.now()).forEach(this::send))
                 .add("ends", () -> ended.propose(draft, ledger.plenty(), loop.now()))
                 .add("fleet", () -> ifLeading(() -> fleet.propose(draft, loop.now(), draft.timeOfDay())));
     }
--- a/src/main/java/org/gullway/coordination/BestEffortQueue.java
+++ b/src/main/java/org/gullway/coordination/BestEffortQueue.java
@@ -15,6 +15,7 @@
 import java.util.Set;
 import java.util.TreeMap;
 import java.util.function.Predicate;
+import java.util.function.Supplier;
 import java.util.random.RandomGenerator;
 import org.gullway.protocol.MachineType;
 import org.gullway.protocol.Offer;
@@ -106,7 +107,7 @@
     }
 
     /** Fills the given machines, whose workers report here, and the room offered by peers. */
-    public List<Outgoing> propose(Draft draft, List<MachineRecord> own, Instant now) {
+    public List<Outgoing> propose(Draft draft, Supplier<List<MachineRecord>> own, Instant now) {
         List<JobRecord> mine = new ArrayList<>();
         boolean othersWait = false;
         for (JobRecord job : view.jobs()) {
@@ -126,7 +127,7 @@
                 .thenComparing(urgency::due)
                 .thenComparing(j -> j.request().id()));
         Map<MachineRecord, Offer> room = new LinkedHashMap<>();
-        for (MachineRecord machine : own) {
+        for (MachineRecord machine : own.get()) {
             if (placing.freeCpus(machine, draft) > 0) {
                 room.put(machine, new Offer(machine.name(), machine.session(), List.of()));
             }
--- a/src/main/java/org/gullway/coordination/ClusterView.java
+++ b/src/main/java/org/gullway/coordination/ClusterView.java
@@ -3,6 +3,7 @@
 import java.util.Collection;
 import java.util.HashMap;
 import java.util.HashSet;
+import java.util.LinkedHashMap;
 import java.util.Map;
 import java.util.Objects;
 import java.util.Set;
@@ -47,7 +48,8 @@
     private final Map<String, Long> marks = new HashMap<>();
     private final Map<String, JobRecord> jobs = new TreeMap<>();
     private final Map<String, GroupRecord> groups = new TreeMap<>();
-    private final Map<String, MachineRecord> machines = new TreeMap<>();
+    private final Map<String, MachineRecord> machines = new LinkedHashMap<>();
+    private final Map<String, Long> machineMarks = new HashMap<>();
     private final Map<String, String> groupOf = new HashMap<>();
     private final Map<String, ShareRecord> shares = new TreeMap<>();
     private final Map<String, Incarnation> members = new TreeMap<>();
@@ -72,6 +74,7 @@
         groups.clear();
         touched.addAll(machines.keySet());
         machines.clear();
+        machineMarks.clear();
         groupOf.clear();
         shares.clear();
         members.clear();
@@ -99,7 +102,7 @@
         if (value instanceof JobRecord job) {
             replaceJob(job.request().id(), job);
         } else if (value instanceof GroupRecord group) {
-            replaceGroup(group.id(), group);
+            replaceGroup(group.id(), group, mark);
         } else if (value instanceof ShareRecord share) {
             shares.put(key, share);
         } else if (key.startsWith(Keys.MEMBERS)) {
@@ -126,7 +129,7 @@
         if (key.startsWith(Keys.JOBS)) {
             replaceJob(key.substring(Keys.JOBS.length()), null);
         } else if (key.startsWith(Keys.GROUPS)) {
-            replaceGroup(key.substring(Keys.GROUPS.length()), null);
+            replaceGroup(key.substring(Keys.GROUPS.length()), null, mark);
         } else if (key.startsWith(Keys.SHARES)) {
             shares.remove(key);
         } else if (key.startsWith(Keys.MEMBERS)) {
@@ -139,12 +142,13 @@
         return true;
     }
 
-    private void replaceGroup(String id, GroupRecord next) {
+    private void replaceGroup(String id, GroupRecord next, long mark) {
         GroupRecord before = next == null ? groups.remove(id) : groups.put(id, next);
         if (before != null) {
             for (MachineRecord machine : before.machines()) {
                 if (id.equals(groupOf.get(machine.name()))) {
                     machines.remove(machine.name());
+                    machineMarks.remove(machine.name());
                     groupOf.remove(machine.name());
                     touched.add(machine.name());
                 }
@@ -153,6 +157,7 @@
         if (next != null) {
             for (MachineRecord machine : next.machines()) {
                 machines.put(machine.name(), machine);
+                machineMarks.put(machine.name(), mark);
                 groupOf.put(machine.name(), id);
                 touched.add(machine.name());
             }
@@ -247,8 +252,7 @@
 
     /** Mark of the record that holds the machine. */
     public long machineMark(String machine) {
-        String group = groupOf.get(machine);
-        return group == null ? 0 : mark(Keys.group(group));
+        return machineMarks.getOrDefault(machine, 0L);
     }
 
     /** All shares by their keys. */
--- a/src/main/java/org/gullway/coordination/MachineControl.java
+++ b/src/main/java/org/gullway/coordination/MachineControl.java
@@ -7,6 +7,7 @@
 import java.util.Collections;
 import java.util.HashMap;
 import java.util.HashSet;
+import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
 import java.util.Set;
@@ -36,6 +37,7 @@
     /** A worker waits so long for an answer before it turns to another controller. */
     private static final Duration ANSWER_LIMIT = Duration.ofSeconds(4);
     private static final int ERRORS_OF_JOBS = 2;
+    private static final Duration GIVE_UP_EVERY = Duration.ofMillis(500);
     /** Every worker reports once more when the epoch has risen, so starts without an answer are settled together. */
     private static final Duration RAISE_PAUSE = Duration.ofSeconds(1);
     /** Commands on their way at a time; the rest has its turn when answers come in. */
@@ -45,7 +47,7 @@
     private final Incarnation self;
     private final Duration reportInterval;
     private final EndedAttempts ended;
-    private final Map<String, Worker> workers = new TreeMap<>();
+    private final Map<String, Worker> workers = new LinkedHashMap<>();
     /** Machines here whose session on record may be behind. */
     private final Set<String> newSessions = new HashSet<>();
     /** Groups of a controller that some of their workers cannot reach. */
@@ -53,6 +55,7 @@
     private final Map<String, List<EndNotice>> notices = new TreeMap<>();
     private int pushing;
     private Instant raisedAt = Instant.MIN;
+    private Instant gaveUpAt = Instant.MIN;
     /** Since when reports are taken without a break; before that, silence says nothing about a worker. */
     private Instant listeningSince = Instant.MAX;
 
@@ -437,6 +440,10 @@
      * deaf the fault is more likely to be this controller's own network, and then it takes longer.
      */
     private void giveUp(Draft draft, Instant now) {
+        if (gaveUpAt.plus(GIVE_UP_EVERY).isAfter(now)) {
+            return;
+        }
+        gaveUpAt = now;
         Instant limit = now.minus(reportInterval.multipliedBy(2).plus(ANSWER_LIMIT));
         if (!listeningSince.isBefore(limit)) {
             // After an outage of the state store all workers have been refused for a while (simulated day 99336).
--- a/src/main/java/org/gullway/coordination/Repair.java
+++ b/src/main/java/org/gullway/coordination/Repair.java
@@ -14,12 +14,15 @@
  * whose owner is lost get another one, and machines are dealt out evenly again.
  */
 public final class Repair {
+    /** It looks at all placements of all jobs; what is lost has been missing for seconds by then. */
+    private static final Duration EVERY = Duration.ofMillis(250);
     private static final Duration BALANCE_EVERY = Duration.ofSeconds(5);
 
     private final ClusterView view;
     private final Placing placing;
     private final String self;
     private final RandomGenerator random;
+    private Instant proposedAt = Instant.MIN;
     private Instant balancedAt = Instant.MIN;
 
     public Repair(ClusterView view, Placing placing, String self, RandomGenerator random) {
@@ -30,6 +33,10 @@
     }
 
     public void propose(Draft draft, boolean leading, Instant now) {
+        if (proposedAt.plus(EVERY).isAfter(now)) {
+            return;
+        }
+        proposedAt = now;
         for (JobRecord job : view.jobs()) {
             boolean orphaned = !job.reserved() && !view.members().containsKey(job.owner());
             if ((job.reserved() || orphaned ? leading : self.equals(job.owner())) && draft.hasRoomFor(4)) {
--- a/src/test/java/org/gullway/coordination/BestEffortQueueTest.java
+++ b/src/test/java/org/gullway/coordination/BestEffortQueueTest.java
@@ -38,7 +38,7 @@
         accept("run-000001", "red", "perch-0", 9, 9, 11);
         accept("run-000002", "blue", "perch-0", 9, 1, 12);
         Draft draft = draft();
-        queue.propose(draft, List.of(machine), Instant.EPOCH);
+        queue.propose(draft, () -> List.of(machine), Instant.EPOCH);
         assertThat(draft.job("run-000001").live()).hasSize(2);
         assertThat(draft.job("run-000002").live()).hasSize(2);
     }
@@ -48,7 +48,7 @@
         accept("run-000001", "red", "perch-0", 9, 9, 11);
         accept("run-000002", "blue", "perch-0", 4, 1, 12);
         Draft draft = draft();
-        queue.propose(draft, List.of(machine), Instant.EPOCH);
+        queue.propose(draft, () -> List.of(machine), Instant.EPOCH);
         assertThat(draft.job("run-000001").live()).isEmpty();
         assertThat(draft.job("run-000002").live()).hasSize(4);
     }
@@ -60,7 +60,7 @@
         view.put(Keys.job("run-000001"), begun.ended(Map.of(begun.live().get(0), JobRecord.End.DONE)), 11);
         accept("run-000002", "red", "perch-0", 4, 5, 12);
         Draft draft = draft();
-        queue.propose(draft, List.of(machine), Instant.EPOCH);
+        queue.propose(draft, () -> List.of(machine), Instant.EPOCH);
         assertThat(draft.job("run-000002").live()).hasSize(4);
         assertThat(draft.job("run-000001").live()).isEmpty();
     }
@@ -71,7 +71,7 @@
         accept("run-000001", "red", "perch-0", 4, 90, 11);
         accept("run-000002", "red", "perch-0", 4, 5, 12);
         Draft draft = draft();
-        queue.propose(draft, List.of(machine), Instant.EPOCH);
+        queue.propose(draft, () -> List.of(machine), Instant.EPOCH);
         assertThat(draft.job("run-000001").live()).hasSize(1);
         assertThat(draft.job("run-000002").live()).hasSize(3);
     }
@@ -85,7 +85,7 @@
                 "perch-0", Samples.DAY.minusSeconds(70)), 12);
         accept("run-000002", "blue", "perch-0", 4, 5, 13);
         Draft draft = draft();
-        queue.propose(draft, List.of(machine), Instant.EPOCH);
+        queue.propose(draft, () -> List.of(machine), Instant.EPOCH);
         assertThat(draft.isEmpty()).isTrue();
     }
 
@@ -94,7 +94,7 @@
         view.put(Keys.CLOSED, new ClosedMachines(java.util.Set.of("vm-1")), 20);
         accept("run-000001", "red", "perch-0", 4, 5, 11);
         Draft draft = draft();
-        queue.propose(draft, List.of(machine), Instant.EPOCH);
+        queue.propose(draft, () -> List.of(machine), Instant.EPOCH);
         assertThat(draft.isEmpty()).isTrue();
     }
 
@@ -102,7 +102,7 @@
     void roomThatFitsNothingHereIsOfferedToAPeerAndUsedThere() {
         accept("run-000001", "red", "perch-1", 2, 5, 11);
         Draft draft = draft();
-        List<BestEffortQueue.Outgoing> offers = queue.propose(draft, List.of(machine), Instant.EPOCH);
+        List<BestEffortQueue.Outgoing> offers = queue.propose(draft, () -> List.of(machine), Instant.EPOCH);
         assertThat(draft.isEmpty()).isTrue();
         assertThat(offers).containsExactly(new BestEffortQueue.Outgoing("perch-1",
                 List.of(new Offer("vm-1", 1, List.of("perch-0")))));
@@ -111,7 +111,7 @@
                 Duration.ofSeconds(3), new SplittableRandom(2));
         peer.offered(offers.get(0).offers(), Instant.EPOCH);
         Draft there = new Draft(view, Samples.PEER, Samples.LIMITS, Samples.DAY);
-        peer.propose(there, List.of(), Instant.EPOCH);
+        peer.propose(there, List::of, Instant.EPOCH);
         assertThat(there.job("run-000001").live()).hasSize(2);
         assertThat(there.guards()).contains(Keys.member("perch-1"), Keys.job("run-000001"));
     }
--- a/src/test/java/org/gullway/standin/StandInCloud.java
+++ b/src/test/java/org/gullway/standin/StandInCloud.java
@@ -65,6 +65,10 @@
         return machines.size();
     }
 
+    public int rentedEver() {
+        return names;
+    }
+
     /** The cloud takes a spot machine back. */
     public void take(StandInWorker worker) {
         worker.die();
