Pauses only when requests run short; fair parts only when the store refuses

Now a budget of each kind of request, with a second's worth saved up. Excluded: fleet size, order of jobs (guarantee and contour-smooth as before).

--- a/src/main/java/org/gullway/Controller.java
+++ b/src/main/java/org/gullway/Controller.java
@@ -51,7 +51,7 @@
     private static final Duration COMMAND_LIMIT = Duration.ofSeconds(4);
     private static final Duration MESH_LIMIT = Duration.ofSeconds(2);
     /** Rounds gather what comes in between; a long one leaves twice its time for everything else. */
-    private static final Duration LEAST_PAUSE = Duration.ofMillis(25);
+    private static final Duration LEAST_PAUSE = Duration.ofMillis(10);
     private static final Duration LONGEST_PAUSE = Duration.ofMillis(300);
     private static final Duration ROUND_BUDGET = Duration.ofMillis(150);
 
--- a/src/main/java/org/gullway/UserApi.java
+++ b/src/main/java/org/gullway/UserApi.java
@@ -265,7 +265,7 @@
             call.refuse(503, RETRY_AFTER);
         } else if (job != null) {
             polls.add(new Poll(id, loop.now(), call));
-            verify();
+            verifySoon();
         } else {
             lookUp(id, found -> {
                 if (found == null) {
@@ -277,6 +277,16 @@
         }
     }
 
+    private void verifySoon() {
+        if (!verifying) {
+            verifying = true;
+            loop.after(ledger.questionPause(), () -> {
+                verifying = false;
+                verify();
+            });
+        }
+    }
+
     /** Asks the store once for all questions that wait whether what is known here is still the newest. */
     private void verify() {
         if (verifying || polls.isEmpty()) {
@@ -323,7 +333,9 @@
                     }, () -> poll.call().refuse(503, RETRY_AFTER));
                 }
             }
-            verify();
+            if (!polls.isEmpty()) {
+                verifySoon();
+            }
         });
     }
 
--- a/src/main/java/org/gullway/bookkeeping/Ledger.java
+++ b/src/main/java/org/gullway/bookkeeping/Ledger.java
@@ -30,6 +30,7 @@
     private static final Logger LOG = LoggerFactory.getLogger(Ledger.class);
     private static final Duration WATCH_WAIT = Duration.ofSeconds(5);
     private static final Duration RETRY = Duration.ofMillis(250);
+    private static final Duration BUSY_MEMORY = Duration.ofSeconds(10);
     private static final Duration BUSY_RETRY = Duration.ofMillis(120);
 
     /** What became of a draft; one that was not committed never will be, and {@code failed} names guards that failed. */
@@ -39,19 +40,18 @@
 
     /** What the state service allows all controllers together, and how many they are. */
     public record Pace(double changesPerSecond, double requestsPerSecond, int controllers) {
+        /** Part of the changes that each takes while the store refuses none. */
+        private static final double FREE_PART = 0.6;
         /** The leader books most of the work; the others share the rest. */
         private static final double LEADERS_PART = 0.55;
         private static final double OTHERS_PART = 0.4;
-        private static final int REQUEST_MILLIS = 2000;
+        private static final double WATCHES_PART = 0.45;
+        private static final double COMMITS_PART = 0.35;
+        private static final double QUESTIONS_PART = 0.15;
 
-        double part(boolean leading) {
+        double fairPart(boolean leading) {
             return leading ? LEADERS_PART : OTHERS_PART / Math.max(1, controllers - 1);
         }
-
-        /** Pause after which as many watches, and as many commits, come to a part of the requests allowed. */
-        Duration between() {
-            return Duration.ofMillis((long) Math.min(250, REQUEST_MILLIS * controllers / requestsPerSecond));
-        }
     }
 
     private enum Phase { OUTSIDE, JOINING, MEMBER }
@@ -63,6 +63,11 @@
     private final Runnable changed;
     private final Pace pace;
     private final Budget changes;
+    private final Budget watches;
+    private final Budget commits;
+    private final Budget questions;
+    /** Until then the store counts as busy, and this controller keeps to its fair part of the changes. */
+    private Instant busyUntil = Instant.MIN;
     private Phase phase = Phase.OUTSIDE;
     private boolean synced;
     private Instant lastWatched = Instant.MIN;
@@ -84,6 +89,10 @@
         this.changed = changed;
         this.pace = pace;
         this.changes = new Budget(loop, pace.changesPerSecond());
+        double requests = pace.requestsPerSecond() / pace.controllers();
+        this.watches = new Budget(loop, requests, Pace.WATCHES_PART);
+        this.commits = new Budget(loop, requests, Pace.COMMITS_PART);
+        this.questions = new Budget(loop, requests, Pace.QUESTIONS_PART);
     }
 
     static boolean isTethered(String key) {
@@ -195,7 +204,8 @@
             }
             // The store answers at once while changes go on; a short pause gathers them and spares requests.
             if (asked.plus(BUSY_RETRY).isAfter(loop.now())) {
-                loop.after(pace.between(), () -> {
+                watches.spend(1);
+                loop.after(watches.pause(), () -> {
                     if (run == watchRun) {
                         watch(run, to);
                     }
@@ -293,9 +303,9 @@
 
     // Commits
 
-    /** Takes the part of the changes that a leader, or another controller, may use. */
+    /** Takes the part of the changes that a leader, or another controller, may use now. */
     public void share(boolean leading) {
-        changes.take(pace.part(leading));
+        changes.take(loop.now().isBefore(busyUntil) ? pace.fairPart(leading) : Pace.FREE_PART);
     }
 
     /** How many changes a commit may hold now: what comes next should never wait long for the budget to recover. */
@@ -332,6 +342,7 @@
     public void commit(Draft draft, Consumer<Result> callback) {
         committing = true;
         changes.spend(draft.changes().size());
+        commits.spend(1);
         long lease = membership.lease();
         long knownTo = view.watched();
         Map<String, Long> marks = new HashMap<>();
@@ -348,8 +359,9 @@
                         view.put(key, value, revision);
                     }
                 });
-                commitNotBefore = loop.now().plus(pace.between());
-                loop.after(pace.between(), changed);
+                Duration pause = commits.pause();
+                commitNotBefore = loop.now().plus(pause);
+                loop.after(pause, changed);
                 callback.accept(new Result(true, Set.of()));
                 changed.run();
             } else if (outcome.unknown()) {
@@ -362,6 +374,9 @@
                     failed = failedGuards(outcome);
                     refused(failed, outcome.revision(), lease, marks, knownTo);
                 } else {
+                    if (outcome.status() == 429) {
+                        busyUntil = loop.now().plus(BUSY_MEMORY);
+                    }
                     commitNotBefore = loop.now().plus(BUSY_RETRY);
                     loop.after(BUSY_RETRY, changed);
                     if (outcome.status() == 400) {
@@ -447,6 +462,7 @@
 
     /** Asks whether the view's marks of these keys are the newest; the answer is the keys that are not, or null. */
     public void verify(Set<String> keys, Consumer<Set<String>> callback) {
+        questions.spend(1);
         store.commit(keys, view::mark, Map.of(), 0, outcome -> {
             if (outcome.is(200)) {
                 callback.accept(Set.of());
@@ -458,6 +474,11 @@
         });
     }
 
+    /** How long questions should be gathered before the next verification. */
+    public Duration questionPause() {
+        return questions.pause();
+    }
+
     public StateStore store() {
         return store;
     }
--- a/src/main/java/org/gullway/transport/Budget.java
+++ b/src/main/java/org/gullway/transport/Budget.java
@@ -17,9 +17,13 @@
     private Instant at;
 
     public Budget(EventLoop loop, double limitPerSecond) {
+        this(loop, limitPerSecond, PART);
+    }
+
+    public Budget(EventLoop loop, double limitPerSecond, double part) {
         this.loop = loop;
         this.limitPerSecond = limitPerSecond;
-        take(PART);
+        take(part);
         this.left = perSecond;
         this.at = loop.now();
     }
@@ -56,6 +60,12 @@
         return left;
     }
 
+    /** How long to wait until something may be asked; a little time gathers what comes together. */
+    public Duration pause() {
+        double missing = 1 - earn();
+        return Duration.ofMillis(missing <= 0 ? 10 : 10 + (long) (1000 * missing / perSecond));
+    }
+
     public void spend(int count) {
         left -= count;
     }
