--- a/src/main/java/org/gullway/coordination/ClusterView.java
+++ b/src/main/java/org/gullway/coordination/ClusterView.java
@@ -45,6 +45,8 @@
         }
     }
 
+    private static final Room UNUSED = new Room();
+
     private final Map<String, Long> marks = new HashMap<>();
     private final Map<String, JobRecord> jobs = new TreeMap<>();
     private final Map<String, GroupRecord> groups = new TreeMap<>();
@@ -282,12 +284,12 @@
     }
 
     public Room usedOn(String machine) {
-        return machineUse.getOrDefault(machine, new Room());
+        return machineUse.getOrDefault(machine, UNUSED);
     }
 
     /** What a team's tasks take of one share. */
     public Room usedOf(String share, String team) {
-        return shareUse.getOrDefault(share, Map.of()).getOrDefault(team, new Room());
+        return shareUse.getOrDefault(share, Map.of()).getOrDefault(team, UNUSED);
     }
 
     /** What a team's tasks take of all shares. */
--- a/src/main/java/org/gullway/coordination/FleetPlan.java
+++ b/src/main/java/org/gullway/coordination/FleetPlan.java
@@ -148,11 +148,15 @@
         }
         plannedAt = now;
         List<Slot> slots = new ArrayList<>();
+        double smallest = Double.MAX_VALUE;
+        for (JobRecord job : view.jobs()) {
+            smallest = job.waiting() > 0 || job.reserved() ? Math.min(smallest, job.request().cpus()) : smallest;
+        }
         for (MachineRecord machine : view.machines()) {
             MachineType type = placing.types().get(machine.type());
             if (type != null && machine.fate() == Fate.STAYS) {
                 ClusterView.Room used = view.usedOn(machine.name());
-                if (used.cpus < type.cpus()) {
+                if (used.cpus + smallest <= type.cpus() + 1e-6) {
                     slots.add(new Slot(new Offering(type, machine.zone(), machine.spot()),
                             type.cpus() - used.cpus, type.cards() - used.cards, type.memoryGb() - used.memoryGb));
                 }
@@ -215,7 +219,9 @@
                 }
             }
         }
-        slots.removeIf(slot -> slot.cpus <= 1e-6);
+        if (laid > 0) {
+            slots.removeIf(slot -> slot.cpus <= 1e-6);
+        }
         for (Offering offering : offerings) {
             if (laid < tasks && suits(offering, job)) {
                 while (laid < tasks) {
--- a/src/main/java/org/gullway/coordination/ReservedBooking.java
+++ b/src/main/java/org/gullway/coordination/ReservedBooking.java
@@ -19,10 +19,15 @@
     /** Making room looks at every task of the fleet, so it is done at intervals; tasks take longer to stop anyway. */
     private static final Duration ROOM_PAUSE = Duration.ofMillis(500);
 
+    private static final int MOST_LOOKED_AT = 256;
+    /** Once so many jobs found no room, those after them have to wait for machines. */
+    private static final int MOST_STUCK = 8;
+
     private final ClusterView view;
     private final Placing placing;
     private final JobPauses pauses;
     private final Urgency urgency;
+    private int lookFrom;
     private Instant roomMadeAt = Instant.MIN;
 
     public ReservedBooking(ClusterView view, Placing placing, JobPauses pauses, Urgency urgency) {
@@ -55,29 +60,54 @@
             }
         }
         List<JobRecord> unfitted = new ArrayList<>();
+        double mostFree = mostFree(draft, withRoom);
         for (JobRecord job : waiting) {
             // Another part of this round may have cancelled the job or ended tasks of it already.
             JobRecord current = draft.job(job.request().id());
-            if (current != null && !book(draft, current, withRoom)) {
+            if (current == null) {
+                continue;
+            }
+            boolean hopeless = current.request().cpus() > mostFree && placing.withinShare(current, draft) > 0;
+            if (hopeless || !book(draft, current, withRoom)) {
                 unfitted.add(draft.job(job.request().id()));
+                mostFree = hopeless ? mostFree : mostFree(draft, withRoom);
             }
         }
         if (!unfitted.isEmpty() && roomMadeAt.plus(ROOM_PAUSE).isAfter(now)) {
             return;
         }
         roomMadeAt = now;
-        RoomMaking rooms = new RoomMaking(view, placing, urgency, draft, machines);
+        List<MachineRecord> looked = nextMachines(machines);
+        RoomMaking rooms = new RoomMaking(view, placing, urgency, draft, looked);
         List<JobRecord> stuck = new ArrayList<>();
         for (JobRecord job : unfitted) {
-            if (!makeRoom(rooms, draft, job, machines)) {
+            if (stuck.size() >= MOST_STUCK || !makeRoom(rooms, draft, job, looked)) {
                 stuck.add(job);
             }
         }
         Set<String> closed = new LinkedHashSet<>(rooms.meant());
+        view.closed().stream().filter(this::isClearing).forEach(closed::add);
         closed.addAll(machinesToClose(draft, stuck, machines));
         close(draft, closed);
     }
 
+    /** Looking at every task of a large fleet would take seconds: each time goes on where the last one stopped. */
+    private List<MachineRecord> nextMachines(List<MachineRecord> machines) {
+        if (machines.size() <= MOST_LOOKED_AT) {
+            return machines;
+        }
+        List<MachineRecord> looked = new ArrayList<>(MOST_LOOKED_AT);
+        for (int i = 0; i < MOST_LOOKED_AT; i++) {
+            looked.add(machines.get((lookFrom + i) % machines.size()));
+        }
+        lookFrom = (lookFrom + MOST_LOOKED_AT) % machines.size();
+        return looked;
+    }
+
+    private boolean isClearing(String machine) {
+        return view.placementsOn(machine).values().stream().anyMatch(Placement::stopping);
+    }
+
     /** Stops best-effort tasks of lower rank for all waiting tasks that the team's limit allows; false if not enough. */
     private boolean makeRoom(RoomMaking rooms, Draft draft, JobRecord job, List<MachineRecord> machines) {
         int tasks = Math.min(job.waiting(), placing.withinShare(job, draft));
@@ -85,6 +115,10 @@
                 && other.request().rank().compareTo(job.request().rank()) > 0);
     }
 
+    private double mostFree(Draft draft, List<MachineRecord> machines) {
+        return machines.stream().mapToDouble(machine -> placing.freeCpus(machine, draft)).max().orElse(0) + 1e-6;
+    }
+
     /** By rank, then jobs within their team's guarantee, then by age. */
     private Comparator<JobRecord> order() {
         Guarantees guarantees = Guarantees.of(view, placing);
--- a/src/main/java/org/gullway/coordination/RoomMaking.java
+++ b/src/main/java/org/gullway/coordination/RoomMaking.java
@@ -28,6 +28,7 @@
     private final Draft draft;
     /** Room that is free, or will be once stopping tasks are gone, less what is meant for waiting tasks. */
     private final Map<String, Free> free = new HashMap<>();
+    private final Map<String, List<Victim>> stoppable = new HashMap<>();
     private final Set<String> meant = new LinkedHashSet<>();
 
     private static final class Free {
@@ -108,18 +109,20 @@
         int left = tasks;
         while (left > 0) {
             Way way = ways.poll();
-            if (way == null || !draft.hasRoomFor(way.victims().size())) {
+            if (way == null || !draft.hasRoomFor(Math.max(1, way.victims().size()))) {
                 return false;
             }
             Free room = free.get(way.machine().name());
             for (Victim victim : way.victims()) {
                 JobRecord current = draft.job(victim.job().request().id());
-                if (current == null) {
-                    return false;
+                if (current != null) {
+                    draft.putJob(current.stopping(p -> p.equals(victim.placement())));
                 }
-                draft.putJob(current.stopping(p -> p.equals(victim.placement())));
                 room.change(victim.job().request(), 1);
             }
+            if (!way.victims().isEmpty()) {
+                stoppable.get(way.machine().name()).removeAll(way.victims());
+            }
             room.change(job.request(), -1);
             meant.add(way.machine().name());
             left--;
@@ -140,27 +143,33 @@
         if (room.fits(job)) {
             return List.of();
         }
-        List<Victim> candidates = new ArrayList<>();
-        view.placementsOn(machine.name()).forEach((id, placement) -> {
-            JobRecord other = draft.job(id.task().job());
-            Placement current = other == null ? null : other.placementOf(placement.task(), placement.attempt());
-            if (current != null && !current.stopping() && !other.cancelled() && displaceable.test(other)) {
-                candidates.add(new Victim(other, current, loss(other, current)));
-            }
-        });
-        candidates.sort(Comparator.comparingDouble(Victim::loss));
         Free trial = room.copy();
         List<Victim> chosen = new ArrayList<>();
-        for (Victim victim : candidates) {
-            trial.change(victim.job().request(), 1);
-            chosen.add(victim);
-            if (trial.fits(job)) {
-                return chosen;
+        for (Victim victim : stoppable.computeIfAbsent(machine.name(), this::stoppableOn)) {
+            if (displaceable.test(victim.job())) {
+                trial.change(victim.job().request(), 1);
+                chosen.add(victim);
+                if (trial.fits(job)) {
+                    return chosen;
+                }
             }
         }
         return null;
     }
 
+    /** The tasks on a machine that could be stopped, those with least loss first; looked up once. */
+    private List<Victim> stoppableOn(String machine) {
+        List<Victim> candidates = new ArrayList<>();
+        view.placementsOn(machine).forEach((id, placement) -> {
+            JobRecord other = view.job(id.task().job());
+            if (!placement.stopping() && !other.reserved() && !other.cancelled()) {
+                candidates.add(new Victim(other, placement, loss(other, placement)));
+            }
+        });
+        candidates.sort(Comparator.comparingDouble(Victim::loss));
+        return candidates;
+    }
+
     /** Processor seconds that are lost: all since the start, or since the last checkpoint at most. */
     private double loss(JobRecord job, Placement placement) {
         Duration run = Duration.between(placement.since(), draft.timeOfDay());
