--- a/src/main/java/org/gullway/coordination/FleetPlan.java
+++ b/src/main/java/org/gullway/coordination/FleetPlan.java
@@ -81,6 +81,8 @@
     private final Set<String> counted = new HashSet<>();
     /** Processors of a large urgent job of late: it may come again at any moment, all at once. */
     private double burst;
+    private double leastExcess;
+    private Instant excessSince;
     private Instant burstAt = Instant.MIN;
 
     public FleetPlan(ClusterView view, Placing placing, Policy policy) {
@@ -258,9 +260,10 @@
             spare += machine.takesTasks() ? placing.freeCpus(machine, draft) : 0;
         }
         double wanted = waiting + spareWanted(reservedUse, now);
+        double drainable = drainable(spare - wanted, now);
         for (MachineRecord machine : dearestFirst()) {
             MachineType type = placing.types().get(machine.type());
-            if (type == null || machine.fate() != Fate.STAYS || !draft.canPutMachine(machine.name())) {
+            if (machine.fate() != Fate.STAYS || !draft.canPutMachine(machine.name())) {
                 continue;
             }
             if (!machine.up()) {
@@ -269,22 +272,42 @@
                 }
                 continue;
             }
-            if (view.usedOn(machine.name()).tasks > 0) {
-                continue;
-            }
-            Instant since = idleSince.computeIfAbsent(machine.name(), m -> now);
-            if (spare - type.cpus() >= wanted && since.plus(policy.idleReturn()).isBefore(now)) {
+            double free = placing.freeCpus(machine, draft);
+            boolean empty = view.usedOn(machine.name()).tasks == 0;
+            Instant since = empty ? idleSince.computeIfAbsent(machine.name(), m -> now) : now;
+            if (empty && spare - type.cpus() >= wanted && since.plus(policy.idleReturn()).isBefore(now)
+                    || free > 0 && type.cpus() <= drainable) {
                 draft.putMachine(draft.machine(machine.name()).meant(Fate.LEAVING));
-                spare -= type.cpus();
+                spare -= free;
+                drainable -= type.cpus();
             }
         }
     }
 
+    /**
+     * Processors that were not needed all through the last while. In a large fleet machines are seldom empty, so those
+     * beyond the need take no more tasks and are returned when their last one ends; no work is lost.
+     */
+    private double drainable(double excess, Instant now) {
+        if (excessSince == null) {
+            excessSince = now;
+            leastExcess = excess;
+        }
+        leastExcess = Math.min(leastExcess, excess);
+        if (excessSince.plus(policy.idleReturn().dividedBy(2)).isAfter(now)) {
+            return 0;
+        }
+        double least = leastExcess;
+        excessSince = null;
+        return Math.max(0, least);
+    }
+
     private List<MachineRecord> dearestFirst() {
         List<MachineRecord> machines = new ArrayList<>(view.machines());
         machines.removeIf(machine -> !placing.types().containsKey(machine.type()));
-        machines.sort(Comparator.comparingDouble(machine -> -new Offering(placing.types().get(machine.type()),
-                machine.zone(), machine.spot()).pricePerCpu()));
+        machines.sort(Comparator.<MachineRecord>comparingDouble(machine -> -new Offering(
+                placing.types().get(machine.type()), machine.zone(), machine.spot()).pricePerCpu())
+                .thenComparingDouble(machine -> view.usedOn(machine.name()).cpus));
         return machines;
     }
 
