--- a/src/main/java/org/gullway/coordination/BestEffortQueue.java
+++ b/src/main/java/org/gullway/coordination/BestEffortQueue.java
@@ -119,15 +119,15 @@
                 }
             }
         }
-        if (mine.isEmpty() && (!othersWait || offeredAt.plus(OFFER_PAUSE).isAfter(now))) {
-            foreign.clear();
+        boolean offering = othersWait && !offeredAt.plus(OFFER_PAUSE).isAfter(now);
+        if (mine.isEmpty() && !offering && foreign.isEmpty()) {
             return List.of();
         }
         mine.sort(Comparator.<JobRecord, org.gullway.protocol.Rank>comparing(j -> j.request().rank())
                 .thenComparing(urgency::due)
                 .thenComparing(j -> j.request().id()));
         Map<MachineRecord, Offer> room = new LinkedHashMap<>();
-        for (MachineRecord machine : own.get()) {
+        for (MachineRecord machine : mine.isEmpty() && !offering ? List.<MachineRecord>of() : own.get()) {
             if (placing.freeCpus(machine, draft) > 0) {
                 room.put(machine, new Offer(machine.name(), machine.session(), List.of()));
             }
@@ -142,7 +142,13 @@
         foreign.clear();
         room.keySet().removeIf(machine -> view.closed().contains(machine.name()));
         fillAll(draft, room, mine);
-        return othersWait ? offers(draft, room, now) : List.of();
+        if (!offering) {
+            // Offers of peers are passed on at once; their rate was decided where they began.
+            room.values().removeIf(offer -> offer.askedAlready().isEmpty());
+        } else {
+            offeredAt = now;
+        }
+        return othersWait ? offers(draft, room) : List.of();
     }
 
     private void fillAll(Draft draft, Map<MachineRecord, Offer> room, List<JobRecord> mine) {
@@ -224,10 +230,7 @@
         return false;
     }
 
-    private List<Outgoing> offers(Draft draft, Map<MachineRecord, Offer> room, Instant now) {
-        if (offeredAt.plus(OFFER_PAUSE).isAfter(now)) {
-            return List.of();
-        }
+    private List<Outgoing> offers(Draft draft, Map<MachineRecord, Offer> room) {
         Map<String, List<Offer>> byPeer = new TreeMap<>();
         room.forEach((machine, offer) -> {
             if (placing.freeCpus(machine, draft) < 1) {
@@ -244,9 +247,6 @@
                 }
             }
         });
-        if (!byPeer.isEmpty()) {
-            offeredAt = now;
-        }
         List<Outgoing> outgoing = new ArrayList<>();
         byPeer.forEach((peer, list) -> outgoing.add(new Outgoing(peer, list)));
         return outgoing;
