Give up shares of a limit at once where changes are plentiful; gather room later

Excluded by the log at debug: acceptance (5 ms), placing to running (10 ms), fetches (19 of 58 late ones). Also: a job that has not begun gets its first task after 100 s and room gathered after 150 s, one job at a time; draining keeps the room of four large machines.

--- a/src/main/java/org/gullway/Controller.java
+++ b/src/main/java/org/gullway/Controller.java
@@ -125,7 +125,7 @@
         steps.add("requests", () -> users.propose(draft, draft.timeOfDay()))
                 .add("machines", () -> machines.propose(draft, loop.now()))
                 .add("finished jobs", () -> ended.finish(draft))
-                .add("shares", () -> shares.propose(draft, leads(), loop.now()))
+                .add("shares", () -> shares.propose(draft, leads(), ledger.plenty(), loop.now()))
                 .add("repair", () -> repair.propose(draft, leads(), loop.now()))
                 .add("arrivals", () -> ifLeading(() -> cloud.propose(draft, draft.timeOfDay())))
                 .add("booking", () -> ifLeading(() -> booking.propose(draft, loop.now())))
--- a/src/main/java/org/gullway/coordination/BestEffortQueue.java
+++ b/src/main/java/org/gullway/coordination/BestEffortQueue.java
@@ -8,11 +8,9 @@
 import java.util.Comparator;
 import java.util.Deque;
 import java.util.HashMap;
-import java.util.HashSet;
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
-import java.util.Set;
 import java.util.TreeMap;
 import java.util.function.Predicate;
 import java.util.function.Supplier;
@@ -27,8 +25,10 @@
 public final class BestEffortQueue {
     /** The same machine's room is not offered to peers more often than this, and peers get their offers together. */
     private static final Duration OFFER_PAUSE = Duration.ofMillis(500);
-    /** A job that has not begun by then gets one task before all others, and room is gathered for it. */
-    private static final Duration LONGEST_UNBEGUN = Duration.ofSeconds(60);
+    /** A job that has not begun by then gets one task before all others. */
+    private static final Duration LONGEST_UNBEGUN = Duration.ofSeconds(100);
+    /** For one that has not begun by then room is gathered, which leaves some unused meanwhile. */
+    private static final Duration GATHER_AFTER = Duration.ofSeconds(150);
 
     private final ClusterView view;
     private final Placing placing;
@@ -169,13 +169,12 @@
         fill(draft, room.keySet(), mine, Integer.MAX_VALUE);
     }
 
-    /** Keeps one machine free for each job that found no room though it waited long: what ends there is not refilled. */
+    /** Keeps one machine free for the first job that found no room though it waited long: it is not refilled. */
     private void gather(Draft draft, Map<MachineRecord, Offer> room, List<JobRecord> unbegun) {
-        Set<String> teams = new HashSet<>();
         for (JobRecord known : unbegun) {
             JobRecord job = draft.job(known.request().id());
             if (job == null || !job.live().isEmpty() || placing.withinShare(job, draft) == 0
-                    || !teams.add(job.request().team())) {
+                    || job.submitted().plus(GATHER_AFTER).isAfter(draft.timeOfDay())) {
                 continue;
             }
             room.keySet().stream()
@@ -186,6 +185,7 @@
                     .max(Comparator.<MachineRecord>comparingDouble(m -> placing.freeCpus(m, draft))
                             .thenComparing(MachineRecord::name))
                     .ifPresent(room::remove);
+            return;
         }
     }
 
--- a/src/main/java/org/gullway/coordination/FleetPlan.java
+++ b/src/main/java/org/gullway/coordination/FleetPlan.java
@@ -26,6 +26,7 @@
     private static final int MOST_TASKS_LAID_OUT = 20_000;
     /** Sizing looks at the whole fleet; machines take far longer to come up. */
     private static final Duration PLAN_EVERY = Duration.ofMillis(500);
+    private static final int KEPT_MACHINES = 4;
     private static final Duration BURST_MEMORY = Duration.ofMinutes(1);
     private static final Duration BURST_HALF_LIFE = Duration.ofSeconds(90);
     private static final Duration NO_CAPACITY_PAUSE = Duration.ofSeconds(10);
@@ -275,7 +276,7 @@
             double free = placing.freeCpus(machine, draft);
             boolean empty = view.usedOn(machine.name()).tasks == 0;
             Instant since = empty ? idleSince.computeIfAbsent(machine.name(), m -> now) : now;
-            if (empty && spare - type.cpus() >= wanted && since.plus(policy.idleReturn()).isBefore(now)
+            if (empty && waiting == 0 && spare - type.cpus() >= wanted && since.plus(policy.idleReturn()).isBefore(now)
                     || free > 0 && type.cpus() <= drainable) {
                 draft.putMachine(draft.machine(machine.name()).meant(Fate.LEAVING));
                 spare -= free;
@@ -294,10 +295,12 @@
             leastExcess = excess;
         }
         leastExcess = Math.min(leastExcess, excess);
-        if (excessSince.plus(policy.idleReturn().dividedBy(2)).isAfter(now)) {
+        if (excessSince.plus(policy.idleReturn()).isAfter(now)) {
             return 0;
         }
-        double least = leastExcess;
+        // Room lies in fragments: what a few large machines hold is kept, which matters to small fleets alone.
+        double largest = placing.types().values().stream().mapToDouble(MachineType::cpus).max().orElse(0);
+        double least = leastExcess - KEPT_MACHINES * largest;
         excessSince = null;
         return Math.max(0, least);
     }
--- a/src/main/java/org/gullway/coordination/ReservedBooking.java
+++ b/src/main/java/org/gullway/coordination/ReservedBooking.java
@@ -16,7 +16,7 @@
  * closed to new best-effort starts until their room would do.
  */
 public final class ReservedBooking {
-    /** Making room looks at every task of the fleet, so it is done at intervals; tasks take longer to stop anyway. */
+    /** In a large fleet, making room looks at thousands of tasks, so it is done at intervals. */
     private static final Duration ROOM_PAUSE = Duration.ofMillis(500);
 
     private static final int MOST_LOOKED_AT = 256;
@@ -73,7 +73,7 @@
                 mostFree = hopeless ? mostFree : mostFree(draft, withRoom);
             }
         }
-        if (!unfitted.isEmpty() && roomMadeAt.plus(ROOM_PAUSE).isAfter(now)) {
+        if (!unfitted.isEmpty() && machines.size() > MOST_LOOKED_AT && roomMadeAt.plus(ROOM_PAUSE).isAfter(now)) {
             return;
         }
         roomMadeAt = now;
--- a/src/main/java/org/gullway/coordination/Shares.java
+++ b/src/main/java/org/gullway/coordination/Shares.java
@@ -20,11 +20,13 @@
  * knows what the others need, and gives up what they need more.
  */
 public final class Shares {
-    /** Raises are at least this part of the limit, as far as it is free, so that few of them are needed. */
+    /** A raise takes up to so much of the limit beyond the need, as far as nobody else needs it: so few are needed. */
     private static final double LEAST_RAISE = 0.1;
     /** Lowering by less is not worth a change of the store. */
     private static final double LEAST_LOWERING = 0.02;
     private static final Duration LOWERING_PAUSE = Duration.ofSeconds(1);
+    /** Urgent tasks wait for this, so it is done fast where changes are plentiful (senderos-altos steady, seed 903). */
+    private static final Duration QUICK_LOWERING_PAUSE = Duration.ofMillis(50);
 
     private final ClusterView view;
     private final Placing placing;
@@ -42,10 +44,10 @@
     }
 
     /** Adjusts the shares held here: this node's, and the leader's while leading. */
-    public void propose(Draft draft, boolean leading, Instant now) {
+    public void propose(Draft draft, boolean leading, boolean plenty, Instant now) {
         Map<String, Map<String, double[]>> needs = needs();
         List<String> held = leading ? List.of(Keys.LEADERS_SHARE, own) : List.of(own);
-        boolean mayLower = !loweredAt.plus(LOWERING_PAUSE).isAfter(now);
+        boolean mayLower = !loweredAt.plus(plenty ? QUICK_LOWERING_PAUSE : LOWERING_PAUSE).isAfter(now);
         for (String share : held) {
             ShareRecord before = draft.share(share);
             ShareRecord after = before;
@@ -108,7 +110,8 @@
         }
         double free = Math.max(0, limit - sum);
         if (need > cap) {
-            double raise = Math.min(free, Math.max(need - cap, limit * LEAST_RAISE));
+            double spare = Math.max(0, free - missing - (need - cap));
+            double raise = Math.min(free, need - cap + Math.min(limit * LEAST_RAISE, spare / 2));
             if (raise > 1e-6) {
                 return cap + raise;
             }
