Take connections once entitled; one raise of the epoch after a loss; ask a worker once a second

One controller sent 16,000 commands in 100 s to workers whose new session was not on record yet. Groups are recorded as lists, half as large to read. Excluded: the store (p50 of a commit 20 ms). Tests in MachineControlTest.

--- a/src/main/java/org/gullway/Controller.java
+++ b/src/main/java/org/gullway/Controller.java
@@ -79,6 +79,7 @@
     private final DecisionSteps steps = new DecisionSteps(ROUND_BUDGET);
     /** The commit that the present round makes. */
     private Draft draft;
+    private Runnable open;
     private boolean scheduled;
     private Instant notBefore = Instant.MIN;
 
@@ -140,8 +141,14 @@
         }
     }
 
-    /** Begins to read the store, to join, and to tick. */
-    void start() {
+    /**
+     * Begins to read the store, to join, and to tick.
+     *
+     * @param open is run once, when this controller is first entitled to act: until then its public address takes no
+     *     connections, since a thousand workers that ask every second would keep a small machine from joining
+     */
+    void start(Runnable open) {
+        this.open = open;
         ledger.start();
         loop.every(TICK, this::tick);
         loop.every(logInterval, this::logFigures);
@@ -185,6 +192,11 @@
     }
 
     private void report(Call call) {
+        if (!ledger.entitled()) {
+            // Before the body is read: after a restart all workers ask again every second, and reading comes first.
+            call.refuse(503, Duration.ofSeconds(1));
+            return;
+        }
         WorkerReport report;
         try {
             if (call.body() == null) {
@@ -196,10 +208,6 @@
             call.answer(400, new byte[0]);
             return;
         }
-        if (!ledger.entitled()) {
-            call.refuse(503, Duration.ofSeconds(1));
-            return;
-        }
         MachineControl.Answer answer = machines.report(report, loop.now());
         if (answer instanceof MachineControl.Answer.Commands commands) {
             call.answer(200, Command.response(commands.token(), commands.commands()));
@@ -269,6 +277,10 @@
         if (!ledger.entitled()) {
             return;
         }
+        if (open != null && !placing.types().isEmpty()) {
+            open.run();
+            open = null;
+        }
         machines.pushes(began).forEach(this::send);
         machines.drainNotices().forEach(this::send);
         if (ledger.ready()) {
--- a/src/main/java/org/gullway/Daemon.java
+++ b/src/main/java/org/gullway/Daemon.java
@@ -39,9 +39,17 @@
         long seed = System.nanoTime() ^ System.currentTimeMillis() << 20 ^ settings.nodeName().hashCode();
         Controller controller = new Controller(settings, operator, loop, new HttpClient(loop, buffers),
                 InstantSource.system(), seed);
-        HttpServer.start(worker, buffers, settings.publicAddress(), BODY_LIMIT, controller::answer);
         HttpServer.start(worker, buffers, settings.meshAddress(), BODY_LIMIT, controller::answerPeer);
-        loop.execute(controller::start);
-        LOG.info("{} listens on {} and {}", settings.nodeName(), settings.publicAddress(), settings.meshAddress());
+        LOG.info("{} listens on {} to the other controllers", settings.nodeName(), settings.meshAddress());
+        loop.execute(() -> controller.start(() -> worker.execute(() -> {
+            try {
+                HttpServer.start(worker, buffers, settings.publicAddress(), BODY_LIMIT, controller::answer);
+                LOG.info("{} listens on {}", settings.nodeName(), settings.publicAddress());
+            } catch (RuntimeException e) {
+                // A controller that nobody can reach must not stay a member.
+                LOG.error("cannot listen on {}", settings.publicAddress(), e);
+                System.exit(1);
+            }
+        })));
     }
 }
--- a/src/main/java/org/gullway/bookkeeping/Ledger.java
+++ b/src/main/java/org/gullway/bookkeeping/Ledger.java
@@ -148,7 +148,7 @@
             }
             view.clear();
             items.forEach((key, item) -> take(key, item));
-            view.watchedTo(revision);
+            view.readAt(revision);
             synced = true;
             lastWatched = loop.now();
             LOG.info("read {} keys at revision {}", items.size(), revision);
--- a/src/main/java/org/gullway/bookkeeping/RecordCodec.java
+++ b/src/main/java/org/gullway/bookkeeping/RecordCodec.java
@@ -105,12 +105,9 @@
         node.put("epoch", group.epoch());
         ArrayNode machines = node.putArray("machines");
         for (MachineRecord machine : group.machines()) {
-            ObjectNode item = machines.addObject().put("name", machine.name()).put("type", machine.type())
-                    .put("zone", machine.zone()).put("spot", machine.spot()).put("session", machine.session())
-                    .put("fate", machine.fate().name()).put("rented", machine.rented().toEpochMilli());
-            if (machine.address() != null) {
-                item.put("address", machine.address());
-            }
+            machines.addArray().add(machine.name()).add(machine.type()).add(machine.zone()).add(machine.spot())
+                    .add(machine.session()).add(machine.fate().name()).add(machine.rented().toEpochMilli())
+                    .add(machine.address() == null ? "" : machine.address());
         }
         return node;
     }
@@ -122,7 +119,7 @@
             return job(fields, value);
         }
         if (key.startsWith(Keys.GROUPS)) {
-            return group(key.substring(Keys.GROUPS.length()), fields);
+            return group(key.substring(Keys.GROUPS.length()), fields, value);
         }
         if (key.startsWith(Keys.SHARES)) {
             return share(value);
@@ -187,20 +184,21 @@
         return new ShareRecord(teams);
     }
 
-    private static GroupRecord group(String id, Fields fields) throws MalformedException {
+    private static GroupRecord group(String id, Fields fields, JsonNode value) throws MalformedException {
         Incarnation controller = incarnation(fields.inner("controller"));
         long epoch = fields.count("epoch");
         List<MachineRecord> machines = new ArrayList<>();
-        for (Fields item : fields.list("machines")) {
+        for (JsonNode item : value.path("machines")) {
             MachineRecord.Fate fate;
             try {
-                fate = MachineRecord.Fate.valueOf(item.text("fate"));
+                fate = MachineRecord.Fate.valueOf(item.path(5).asText());
             } catch (IllegalArgumentException e) {
                 throw new MalformedException("fate is unknown");
             }
-            machines.add(new MachineRecord(item.text("name"), item.textOrNull("address"), item.text("type"),
-                    item.text("zone"), item.flag("spot"), controller, item.count("session"), epoch, fate,
-                    Instant.ofEpochMilli(item.count("rented"))));
+            String address = item.path(7).asText();
+            machines.add(new MachineRecord(item.path(0).asText(), address.isEmpty() ? null : address,
+                    item.path(1).asText(), item.path(2).asText(), item.path(3).asBoolean(), controller,
+                    item.path(4).asLong(), epoch, fate, Instant.ofEpochMilli(item.path(6).asLong())));
         }
         return new GroupRecord(id, controller, epoch, List.copyOf(machines));
     }
--- a/src/main/java/org/gullway/coordination/ClusterView.java
+++ b/src/main/java/org/gullway/coordination/ClusterView.java
@@ -65,6 +65,8 @@
     /** Removals that the watch has not reached yet, so that an earlier put it still brings does not undo them. */
     private final Map<String, Long> removed = new HashMap<>();
     private long watched;
+    /** Revision of the last loss of a member, as far as known. */
+    private long lossSeen;
     private Incarnation leader;
     private long epoch;
     private Set<String> closed = Set.of();
@@ -108,7 +110,10 @@
         } else if (value instanceof ShareRecord share) {
             shares.put(key, share);
         } else if (key.startsWith(Keys.MEMBERS)) {
-            members.put(key.substring(Keys.MEMBERS.length()), (Incarnation) value);
+            Incarnation before = members.put(key.substring(Keys.MEMBERS.length()), (Incarnation) value);
+            if (before != null && !before.equals(value)) {
+                lossSeen = Math.max(lossSeen, mark);
+            }
         } else if (key.equals(Keys.LEADER)) {
             leader = (Incarnation) value;
         } else if (key.equals(Keys.EPOCH)) {
@@ -136,6 +141,7 @@
             shares.remove(key);
         } else if (key.startsWith(Keys.MEMBERS)) {
             members.remove(key.substring(Keys.MEMBERS.length()));
+            lossSeen = Math.max(lossSeen, mark);
         } else if (key.equals(Keys.LEADER)) {
             leader = null;
         } else if (key.equals(Keys.CLOSED)) {
@@ -219,6 +225,17 @@
         return drained;
     }
 
+    /** The store was read as of this revision; a member may have been lost at any time before. */
+    public void readAt(long revision) {
+        lossSeen = Math.max(lossSeen, revision);
+        watchedTo(revision);
+    }
+
+    /** Whether the epoch has risen after the last loss of any member. */
+    public boolean epochRaisedSinceLoss() {
+        return mark(Keys.EPOCH) > lossSeen;
+    }
+
     public long mark(String key) {
         return marks.getOrDefault(key, 0L);
     }
--- a/src/main/java/org/gullway/coordination/MachineControl.java
+++ b/src/main/java/org/gullway/coordination/MachineControl.java
@@ -246,8 +246,9 @@
                 difference(record, worker, commands);
             }
             // Without commands it asks the worker to confirm the epoch and to say what is there.
-            boolean introduce = !known && record.session() > 0
-                    || !fenced && worker.newest() != null && worker.newest().token() < view.epoch();
+            boolean unknown = worker.newest() == null || worker.newest().session() < record.session();
+            boolean introduce = unknown && worker.mayAsk(now)
+                    || known && !fenced && worker.newest().token() < view.epoch();
             if (!commands.isEmpty() || introduce || worker.deafSince() != null) {
                 worker.commandSent();
                 pushing++;
@@ -406,11 +407,24 @@
         for (GroupRecord group : view.groups()) {
             boolean lost = !view.isLive(group.controller()) && self.node().equals(successor(group));
             if ((lost || strayGroups.contains(group.id()) && manyStrayed(group)) && draft.hasRoomFor(2)) {
-                draft.putGroup(draft.group(group.id()).claimed(self, draft.raiseEpoch()));
+                draft.putGroup(draft.group(group.id()).claimed(self, lost ? epochAfterLoss(draft, group) : draft.raiseEpoch()));
             }
         }
     }
 
+    /**
+     * An epoch that the lost controller never commanded under: the present one, if it was raised after the last loss
+     * of a member; the lost one must not have come back unseen. After a crash of all, one raise serves all groups.
+     */
+    private long epochAfterLoss(Draft draft, GroupRecord group) {
+        draft.rely(Keys.member(group.controller().node()));
+        if (!view.epochRaisedSinceLoss()) {
+            return draft.raiseEpoch();
+        }
+        draft.rely(Keys.EPOCH);
+        return draft.epoch();
+    }
+
     private boolean manyStrayed(GroupRecord group) {
         long up = group.machines().stream().filter(MachineRecord::up).count();
         long here = group.machines().stream().map(m -> workers.get(m.name()))
--- a/src/main/java/org/gullway/coordination/ReservedBooking.java
+++ b/src/main/java/org/gullway/coordination/ReservedBooking.java
@@ -19,6 +19,8 @@
     /** In a large fleet, making room looks at thousands of tasks, so it is done at intervals. */
     private static final Duration ROOM_PAUSE = Duration.ofMillis(500);
 
+    /** Each change of the marks costs one of few changes of the store. */
+    private static final Duration CLOSE_PAUSE = Duration.ofMillis(500);
     private static final int MOST_LOOKED_AT = 256;
     /** Once so many jobs found no room, those after them have to wait for machines. */
     private static final int MOST_STUCK = 8;
@@ -28,6 +30,7 @@
     private final JobPauses pauses;
     private final Urgency urgency;
     private int lookFrom;
+    private Instant closedAt = Instant.MIN;
     private Instant roomMadeAt = Instant.MIN;
 
     public ReservedBooking(ClusterView view, Placing placing, JobPauses pauses, Urgency urgency) {
@@ -177,7 +180,10 @@
     }
 
     private void close(Draft draft, Set<String> wanted) {
-        if (!wanted.equals(view.closed()) && draft.hasRoomFor(1)) {
+        boolean other = !wanted.equals(view.closed());
+        boolean opens = wanted.isEmpty() || view.closed().isEmpty();
+        if (other && draft.hasRoomFor(1) && (opens || !closedAt.plus(CLOSE_PAUSE).isAfter(draft.timeOfDay()))) {
+            closedAt = draft.timeOfDay();
             draft.put(Keys.CLOSED, new ClosedMachines(wanted));
         }
     }
--- a/src/main/java/org/gullway/coordination/Worker.java
+++ b/src/main/java/org/gullway/coordination/Worker.java
@@ -29,6 +29,7 @@
     private Instant quietUntil = Instant.MIN;
     /** Since when commands have had no answer; reports alone do not show that the machine hears. */
     private Instant deafSince;
+    private Instant askedAt = Instant.MIN;
     private Instant lookAt = Instant.MIN;
     /** When the worker first came here although another controller commands its machine. */
     private Instant strayedAt;
@@ -140,6 +141,15 @@
         look(quietUntil);
     }
 
+    /** Whether to ask a worker of which nothing is known yet; not again and again while it is silent. */
+    boolean mayAsk(Instant now) {
+        if (askedAt.plusSeconds(1).isAfter(now)) {
+            return false;
+        }
+        askedAt = now;
+        return true;
+    }
+
     Instant deafSince() {
         return deafSince;
     }
--- a/src/test/java/org/gullway/SimulatedWorld.java
+++ b/src/test/java/org/gullway/SimulatedWorld.java
@@ -305,9 +305,8 @@
         InstantSource clock = () -> MORNING.plusMillis(skew).plus(Duration.between(Instant.EPOCH, time.now()));
         Controller controller = new Controller(settings, OperatorSettings.DEFAULTS, process,
                 network.client(name, process), clock, random.nextLong());
-        network.listen(settings.publicAddress(), process, controller::answer);
         network.listen(settings.meshAddress(), process, controller::answerPeer);
-        controller.start();
+        controller.start(() -> network.listen(settings.publicAddress(), process, controller::answer));
     }
 
     void crash(String name, Duration back) {
--- a/src/test/java/org/gullway/coordination/MachineControlTest.java
+++ b/src/test/java/org/gullway/coordination/MachineControlTest.java
@@ -100,6 +100,42 @@
         assertThat(control.pushes(now)).singleElement().satisfies(p -> assertThat(p.commands()).isEmpty());
     }
 
+    /** One raise serves all groups of controllers lost before it; a loss after it needs another. */
+    @Test
+    void raisesTheEpochOnceForAllGroupsThatWereLostBefore() {
+        Samples.put(view, Samples.machine("vm-1", "large", Samples.PEER), 60);
+        Samples.put(view, Samples.machine("vm-2", "large", Samples.PEER), 61);
+        view.remove(Keys.member("perch-1"), 62);
+        view.watchedTo(62);
+        Draft small = new Draft(view, Samples.SELF, new Draft.Limits(3, 16 * 1024), Samples.DAY);
+        control.propose(small, now);
+        Samples.commit(view, small, ++revision);
+        Draft second = propose();
+        assertThat(view.epoch()).isEqualTo(2);
+        assertThat(second.guards()).as("the lost one has not come back").contains(Keys.member("perch-1"), Keys.EPOCH);
+        assertThat(List.of(view.machine("vm-1"), view.machine("vm-2"))).allSatisfy(machine -> {
+            assertThat(machine.controller()).isEqualTo(Samples.SELF);
+            assertThat(machine.epoch()).isEqualTo(2);
+        });
+        view.put(Keys.member("perch-1"), Samples.PEER, ++revision);
+        view.remove(Keys.member("perch-1"), ++revision);
+        Samples.put(view, Samples.machine("vm-3", "large", Samples.PEER), ++revision);
+        propose();
+        assertThat(view.machine("vm-3").epoch()).isEqualTo(3);
+    }
+
+    /** A worker in a session that is not on record yet was once asked again with every answer, 160 times a second. */
+    @Test
+    void doesNotAskAWorkerInANewSessionAgainAndAgain() {
+        Samples.put(view, Samples.machine("vm-1", "large", Samples.SELF), 10);
+        control.report(report(2, 1, null), now);
+        for (int i = 0; i < 20; i++) {
+            now = now.plusMillis(50);
+            control.report(report(2, 1, null, new TaskReport(TASK, i, Phase.RUNNING, null, false)), now);
+            assertThat(control.pushes(now)).isEmpty();
+        }
+    }
+
     /** Its reports look alive, but no command is answered: it takes no more tasks and is given up in the end. */
     @Test
     void aMachineThatReportsButDoesNotHearIsGivenUp() {
