--- a/src/main/java/org/gullway/coordination/ReservedBooking.java
+++ b/src/main/java/org/gullway/coordination/ReservedBooking.java
@@ -19,7 +19,7 @@
     /** In a large fleet, making room looks at thousands of tasks, so it is done at intervals. */
     private static final Duration ROOM_PAUSE = Duration.ofMillis(500);
 
-    /** Each change of the marks costs one of few changes of the store. */
+    /** In a large fleet the marks change all the time, and each change costs one of few that the store allows. */
     private static final Duration CLOSE_PAUSE = Duration.ofMillis(500);
     private static final int MOST_LOOKED_AT = 256;
     /** Once so many jobs found no room, those after them have to wait for machines. */
@@ -182,7 +182,8 @@
     private void close(Draft draft, Set<String> wanted) {
         boolean other = !wanted.equals(view.closed());
         boolean opens = wanted.isEmpty() || view.closed().isEmpty();
-        if (other && draft.hasRoomFor(1) && (opens || !closedAt.plus(CLOSE_PAUSE).isAfter(draft.timeOfDay()))) {
+        boolean small = view.machines().size() <= MOST_LOOKED_AT;
+        if (other && draft.hasRoomFor(1) && (opens || small || !closedAt.plus(CLOSE_PAUSE).isAfter(draft.timeOfDay()))) {
             closedAt = draft.timeOfDay();
             draft.put(Keys.CLOSED, new ClosedMachines(wanted));
         }
