Use the room of ended attempts before their ends are on record; no part of a limit lies unused

The keeper now counts certain ends itself and writes them with the job's next change, or after 8 s. Shares that lie unused for 3 s while others are short are given up, a raise must do for a task, and the fleet is laid out within shares. Moving a lost member's share never moves more than it holds.

--- a/src/main/java/org/gullway/CloudLoop.java
+++ b/src/main/java/org/gullway/CloudLoop.java
@@ -35,6 +35,7 @@
     private static final Duration LIMIT = Duration.ofSeconds(5);
     private static final Duration TYPES_EVERY = Duration.ofSeconds(30);
     private static final Duration LIST_EVERY = Duration.ofSeconds(4);
+    private static final Duration REMOVE_EVERY = Duration.ofMillis(500);
     private static final Duration GONE_REMEMBERED = Duration.ofMinutes(2);
 
     private final EventLoop loop;
@@ -51,6 +52,7 @@
     private Instant listedAt = Instant.MIN;
     private int charters;
     private int groupings;
+    private Instant removedAt = Instant.MIN;
     private boolean returning;
     private boolean listing;
     private boolean listedOnce;
@@ -263,9 +265,14 @@
                 draft.putMachine(machine.meant(MachineRecord.Fate.LOST));
             }
         }
-        for (String name : gone.keySet()) {
-            if (draft.machine(name) != null && draft.canPutMachine(name)) {
-                draft.removeMachine(name);
+        Instant now = loop.now();
+        if (!removedAt.plus(REMOVE_EVERY).isAfter(now)) {
+            // Together, since each change of a group costs one of few changes, however many machines it concerns.
+            for (String name : gone.keySet()) {
+                if (draft.machine(name) != null && draft.canPutMachine(name)) {
+                    draft.removeMachine(name);
+                    removedAt = now;
+                }
             }
         }
     }
--- a/src/main/java/org/gullway/Controller.java
+++ b/src/main/java/org/gullway/Controller.java
@@ -303,6 +303,7 @@
             // A former leader whose membership lapsed may be a member again before it hears of its successor.
             made.rely(Keys.LEADER);
         }
+        ended.credit(made);
         steps.run(loop::now);
         ended.join(made);
         if (made.isEmpty()) {
--- a/src/main/java/org/gullway/coordination/ClusterView.java
+++ b/src/main/java/org/gullway/coordination/ClusterView.java
@@ -309,11 +309,6 @@
         return shareUse.getOrDefault(share, Map.of()).getOrDefault(team, UNUSED);
     }
 
-    /** What a team's tasks take of all shares. */
-    public double cpusUsedBy(String team) {
-        return shareUse.values().stream().mapToDouble(use -> use.containsKey(team) ? use.get(team).cpus : 0).sum();
-    }
-
     /** Whether the image was already fetched there for an earlier task, as far as the records show. */
     public boolean hasImage(String machine, String image) {
         return images.getOrDefault(machine, Set.of()).contains(image);
--- a/src/main/java/org/gullway/coordination/Draft.java
+++ b/src/main/java/org/gullway/coordination/Draft.java
@@ -256,6 +256,12 @@
         }
     }
 
+    /** Room and share of an attempt that has certainly ended are free, although its end is not on record yet. */
+    void credit(JobRecord job, String machine) {
+        count(machineExtra, machine, job.request(), -1);
+        count(shareExtra, Keys.shareOf(job) + '\n' + job.request().team(), job.request(), -1);
+    }
+
     private static void count(Map<String, Room> extras, String name, JobRequest request, int sign) {
         extras.computeIfAbsent(name, n -> new Room()).add(request, sign);
     }
--- a/src/main/java/org/gullway/coordination/EndedAttempts.java
+++ b/src/main/java/org/gullway/coordination/EndedAttempts.java
@@ -13,8 +13,8 @@
  * leader) records the ends of all its tasks, so that one writer changes a record and one change holds many ends.
  */
 public final class EndedAttempts {
-    /** Pollers are promised a finished job within 3 s; the ends of a job that goes on may wait until room is needed. */
-    private static final Duration LONGEST_KEPT = Duration.ofMillis(2500);
+    /** The ends of a job that goes on are on record after that, or earlier with its next placement. */
+    private static final Duration LONGEST_KEPT = Duration.ofSeconds(8);
 
     private final ClusterView view;
     private final Map<String, Waiting> byJob = new HashMap<>();
@@ -22,6 +22,7 @@
     private static final class Waiting {
         private final Instant since;
         private final Map<AttemptId, End> ends = new HashMap<>();
+        private final Map<AttemptId, String> machines = new HashMap<>();
 
         Waiting(Instant since) {
             this.since = since;
@@ -34,11 +35,29 @@
 
     public void add(AttemptId attempt, End end, Instant now) {
         JobRecord job = view.job(attempt.task().job());
-        if (job != null) {
-            byJob.computeIfAbsent(attempt.task().job(), j -> new Waiting(now)).ends.put(attempt, end);
+        Placement placement = job == null || contains(attempt) ? null
+                : job.placementOf(attempt.task().index(), attempt.attempt());
+        if (placement != null) {
+            Waiting waiting = byJob.computeIfAbsent(attempt.task().job(), j -> new Waiting(now));
+            waiting.ends.put(attempt, end);
+            waiting.machines.put(attempt, placement.machine());
         }
     }
 
+    /** Lets the commit use the room that ended attempts have left, before their ends are on record. */
+    public void credit(Draft draft) {
+        byJob.forEach((id, waiting) -> {
+            JobRecord job = view.job(id);
+            if (job != null) {
+                waiting.machines.forEach((attempt, machine) -> {
+                    if (view.placementsOn(machine).containsKey(attempt)) {
+                        draft.credit(job, machine);
+                    }
+                });
+            }
+        });
+    }
+
     public boolean contains(AttemptId attempt) {
         Waiting waiting = byJob.get(attempt.task().job());
         return waiting != null && waiting.ends.containsKey(attempt);
--- a/src/main/java/org/gullway/coordination/FleetPlan.java
+++ b/src/main/java/org/gullway/coordination/FleetPlan.java
@@ -171,19 +171,16 @@
         int laidOut = 0;
         JobRequest sample = null;
         double reservedUse = 0;
-        Map<String, Double> teamRoom = teamRoom();
+        Allowance allowance = new Allowance();
         for (JobRecord job : view.jobs()) {
             JobRequest request = job.request();
             if (job.reserved() && !job.cancelled()) {
                 sample = request;
                 reservedUse += job.unfinished() * request.cpus();
             }
-            double room = teamRoom.getOrDefault(request.team(), 0.0);
-            int tasks = (int) Math.min(Math.min(job.waiting(), MOST_TASKS_LAID_OUT - laidOut), room / request.cpus() + 1e-6);
+            int tasks = allowance.take(job, Math.min(job.waiting(), MOST_TASKS_LAID_OUT - laidOut));
             if (tasks > 0) {
-                int laid = layOut(request, tasks, slots, rented, offerings);
-                teamRoom.put(request.team(), room - laid * request.cpus());
-                laidOut += laid;
+                laidOut += layOut(request, tasks, slots, rented, offerings);
             }
         }
         if (sample != null) {
@@ -201,11 +198,31 @@
         return rentals;
     }
 
-    /** What each team may still use. */
-    private Map<String, Double> teamRoom() {
-        Map<String, Double> room = new HashMap<>();
-        placing.teams().forEach(team -> room.put(team.name(), team.cpusMax() - view.cpusUsedBy(team.name())));
-        return room;
+    /** What may still be placed: within a job's share of its team's limit, and what of the limit no share holds. */
+    private final class Allowance {
+        private final Map<String, Double> byShare = new HashMap<>();
+        private final Map<String, Double> byTeam = new HashMap<>();
+
+        Allowance() {
+            placing.teams().forEach(team -> byTeam.put(team.name(), Math.max(0, team.cpusMax()
+                    - view.shares().values().stream().mapToDouble(share -> share.of(team.name()).cpus()).sum())));
+        }
+
+        /** Takes what it can of so many tasks. */
+        int take(JobRecord job, int tasks) {
+            JobRequest request = job.request();
+            String share = Keys.shareOf(job);
+            String key = share + '\n' + request.team();
+            double held = byShare.computeIfAbsent(key, k -> Math.max(0,
+                    view.shares().getOrDefault(share, ShareRecord.EMPTY).of(request.team()).cpus()
+                            - view.usedOf(share, request.team()).cpus));
+            double open = byTeam.getOrDefault(request.team(), 0.0);
+            int taken = (int) Math.min(tasks, (held + open) / request.cpus() + 1e-6);
+            double cpus = taken * request.cpus();
+            byShare.put(key, Math.max(0, held - cpus));
+            byTeam.put(request.team(), open - Math.max(0, cpus - held));
+            return taken;
+        }
     }
 
     private static Slot empty(Offering offering) {
@@ -249,13 +266,11 @@
         double spare = 0;
         double reservedUse = 0;
         double waiting = 0;
-        Map<String, Double> teamRoom = teamRoom();
+        Allowance allowance = new Allowance();
         for (JobRecord job : view.jobs()) {
             JobRequest request = job.request();
             reservedUse += job.reserved() ? job.unfinished() * request.cpus() : 0;
-            double wanted = Math.min(job.waiting() * request.cpus(), Math.max(0, teamRoom.getOrDefault(request.team(), 0.0)));
-            teamRoom.merge(request.team(), -wanted, Double::sum);
-            waiting += wanted;
+            waiting += allowance.take(job, job.waiting()) * request.cpus();
         }
         for (MachineRecord machine : view.machines()) {
             spare += machine.takesTasks() ? placing.freeCpus(machine, draft) : 0;
--- a/src/main/java/org/gullway/coordination/Shares.java
+++ b/src/main/java/org/gullway/coordination/Shares.java
@@ -25,6 +25,8 @@
     /** Lowering by less is not worth a change of the store. */
     private static final double LEAST_LOWERING = 0.02;
     private static final Duration LOWERING_PAUSE = Duration.ofSeconds(1);
+    /** Who could not use its part for so long gives it to the others, and asks again after as long. */
+    private static final Duration LONGEST_UNUSED = Duration.ofSeconds(3);
     /** Urgent tasks wait for this, so it is done fast where changes are plentiful (senderos-altos steady, seed 903). */
     private static final Duration QUICK_LOWERING_PAUSE = Duration.ofMillis(50);
 
@@ -33,6 +35,12 @@
     private final String own;
     private final Set<String> possible = new TreeSet<>();
     private Instant loweredAt = Instant.MIN;
+    /** By share, team and dimension: what is known of a part that lies unused while others are short. */
+    private final Map<String, Unused> unused = new HashMap<>();
+
+    /** @param until before that the share is not raised again */
+    private record Unused(double used, Instant since, Instant until) {
+    }
 
     /** @param nodes all controllers of the deployment, this one included */
     public Shares(ClusterView view, Placing placing, String self, Collection<String> nodes) {
@@ -52,7 +60,7 @@
             ShareRecord before = draft.share(share);
             ShareRecord after = before;
             for (Settings.Team team : placing.teams()) {
-                after = adjust(draft, share, after, team, needs, mayLower);
+                after = adjust(draft, share, after, team, needs, mayLower, now);
             }
             if (!after.equals(before) && draft.hasRoomFor(1)) {
                 draft.put(share, after);
@@ -72,29 +80,33 @@
         return List.copyOf(keys);
     }
 
-    /** Processors and cards that the unfinished jobs of each share and team could use. */
+    /** Processors and cards that the unfinished jobs of each share and team could use, and the same of their least task. */
     private Map<String, Map<String, double[]>> needs() {
         Map<String, Map<String, double[]>> needs = new TreeMap<>();
         for (JobRecord job : view.jobs()) {
             double[] need = needs.computeIfAbsent(Keys.shareOf(job), s -> new HashMap<>())
-                    .computeIfAbsent(job.request().team(), t -> new double[2]);
+                    .computeIfAbsent(job.request().team(), t -> new double[4]);
             need[0] += job.unfinished() * job.request().cpus();
             need[1] += job.unfinished() * job.request().cards();
+            if (job.waiting() > 0) {
+                need[2] = need[2] == 0 ? job.request().cpus() : Math.min(need[2], job.request().cpus());
+                need[3] = need[3] == 0 ? job.request().cards() : Math.min(need[3], job.request().cards());
+            }
         }
         return needs;
     }
 
     private ShareRecord adjust(Draft draft, String share, ShareRecord record, Settings.Team team,
-                               Map<String, Map<String, double[]>> needs, boolean mayLower) {
+                               Map<String, Map<String, double[]>> needs, boolean mayLower, Instant now) {
         ShareRecord.Amount cap = record.of(team.name());
-        double cpus = wanted(draft, share, team, needs, 0, mayLower);
-        double cards = wanted(draft, share, team, needs, 1, mayLower);
+        double cpus = wanted(draft, share, team, needs, 0, mayLower, now);
+        double cards = wanted(draft, share, team, needs, 1, mayLower, now);
         return cpus == cap.cpus() && cards == cap.cards() ? record
                 : record.with(team.name(), new ShareRecord.Amount(cpus, cards));
     }
 
     private double wanted(Draft draft, String share, Settings.Team team, Map<String, Map<String, double[]>> needs,
-                          int dimension, boolean mayLower) {
+                          int dimension, boolean mayLower, Instant now) {
         double limit = dimension == 0 ? team.cpusMax() : team.cardsMax();
         double cap = part(draft.share(share), team.name(), dimension);
         double need = need(needs, share, team.name(), dimension);
@@ -109,16 +121,22 @@
             othersNeed += otherNeed;
         }
         double free = Math.max(0, limit - sum);
-        if (need > cap) {
+        double used = dimension == 0 ? draft.cpusUsedOf(share, team.name()) : draft.cardsUsedOf(share, team.name());
+        boolean othersShort = missing > free;
+        Unused lying = lying(share + '\n' + team.name() + '\n' + dimension, used, othersShort && cap > used, now);
+        if (need > cap && !now.isBefore(lying.until())) {
             double spare = Math.max(0, free - missing - (need - cap));
             double raise = Math.min(free, need - cap + Math.min(limit * LEAST_RAISE, spare / 2));
-            if (raise > 1e-6) {
+            if (raise > 1e-6 && cap + raise - used >= need(needs, share, team.name(), 2 + dimension) - 1e-6) {
                 return cap + raise;
             }
         }
-        if (missing <= free || !mayLower) {
+        if (!othersShort || !mayLower) {
             return cap;
         }
+        if (now.isBefore(lying.until())) {
+            return Math.min(cap, used);
+        }
         // Others are short: what this share does not need, or has beyond its part of a limit that all press, goes.
         double target = need;
         if (need + othersNeed > limit) {
@@ -127,11 +145,31 @@
                     : (limit - leaders) * need / Math.max(1e-9, need + othersNeed
                     - need(needs, Keys.LEADERS_SHARE, team.name(), dimension));
         }
-        double used = dimension == 0 ? draft.cpusUsedOf(share, team.name()) : draft.cardsUsedOf(share, team.name());
         double lowered = Math.max(used, Math.min(cap, target));
         return cap - lowered > limit * LEAST_LOWERING || lowered == 0 && cap > 0 ? lowered : cap;
     }
 
+    /**
+     * Once, two queues held 7.2 and 16.8 of 24 processors, one too little for its task of 8, the other without a
+     * machine for its own, and both waited for ever (generated day 1099511627775).
+     */
+    private Unused lying(String key, double used, boolean lies, Instant now) {
+        Unused before = unused.get(key);
+        if (before != null && now.isBefore(before.until())) {
+            return before;
+        }
+        Unused next;
+        if (!lies || before == null || before.used() != used) {
+            next = new Unused(used, now, Instant.MIN);
+        } else if (before.since().plus(LONGEST_UNUSED).isAfter(now)) {
+            next = before;
+        } else {
+            next = new Unused(used, now, now.plus(LONGEST_UNUSED));
+        }
+        unused.put(key, next);
+        return next;
+    }
+
     private static double part(ShareRecord record, String team, int dimension) {
         ShareRecord.Amount amount = record.of(team);
         return dimension == 0 ? amount.cpus() : amount.cards();
@@ -149,11 +187,13 @@
     static void hand(Draft draft, ClusterView view, JobRecord job, String to) {
         String from = Keys.share(job.owner());
         String team = job.request().team();
-        double cpus = job.live().size() * job.request().cpus();
-        double cards = job.live().size() * job.request().cards();
+        ShareRecord.Amount held = draft.share(from).of(team);
+        // Ends that were not recorded yet let a holder place more than its share shows; never move on what is not there.
+        double cpus = Math.min(held.cpus(), job.live().size() * job.request().cpus());
+        double cards = Math.min(held.cards(), job.live().size() * job.request().cards());
         draft.rely(Keys.member(job.owner()));
         if (cpus > 0 || cards > 0) {
-            draft.put(from, draft.share(from).with(team, draft.share(from).of(team).plus(-cpus, -cards)));
+            draft.put(from, draft.share(from).with(team, held.plus(-cpus, -cards)));
             draft.put(Keys.share(to), draft.share(Keys.share(to)).with(team,
                     draft.share(Keys.share(to)).of(team).plus(cpus, cards)));
         }
@@ -173,7 +213,9 @@
             ShareRecord used = ShareRecord.EMPTY;
             for (Settings.Team team : placing.teams()) {
                 ClusterView.Room room = view.usedOf(key, team.name());
-                used = used.with(team.name(), new ShareRecord.Amount(room.cpus, room.cards));
+                ShareRecord.Amount held = share.of(team.name());
+                used = used.with(team.name(), new ShareRecord.Amount(Math.min(held.cpus(), room.cpus),
+                        Math.min(held.cards(), room.cards)));
             }
             boolean less = share.teams().entrySet().stream().anyMatch(e ->
                     e.getValue().cpus() > view.usedOf(key, e.getKey()).cpus + 1e-6
--- a/src/test/java/org/gullway/SimulatedDaysTest.java
+++ b/src/test/java/org/gullway/SimulatedDaysTest.java
@@ -12,7 +12,7 @@
 
 /** Whole days in virtual time: whatever fails, the rules hold, and afterwards all work gets done. */
 class SimulatedDaysTest {
-    private static void work(SimulatedWorld world, SplittableRandom random, int jobs, Duration span) {
+    static void work(SimulatedWorld world, SplittableRandom random, int jobs, Duration span) {
         for (int i = 1; i <= jobs; i++) {
             int number = i;
             world.after(Duration.ofMillis(random.nextLong(span.toMillis())), () -> {
