--- a/src/main/java/org/gullway/coordination/FleetPlan.java
+++ b/src/main/java/org/gullway/coordination/FleetPlan.java
@@ -83,6 +83,7 @@
     /** Processors of a large urgent job of late: it may come again at any moment, all at once. */
     private double burst;
     private double leastExcess;
+    private double toDrain;
     private Instant excessSince;
     private Instant burstAt = Instant.MIN;
 
@@ -276,7 +277,7 @@
             spare += machine.takesTasks() ? placing.freeCpus(machine, draft) : 0;
         }
         double wanted = waiting + spareWanted(reservedUse, now);
-        double drainable = drainable(spare - wanted, now);
+        noteExcess(spare - wanted, now);
         for (MachineRecord machine : dearestFirst()) {
             MachineType type = placing.types().get(machine.type());
             if (machine.fate() != Fate.STAYS || !draft.canPutMachine(machine.name())) {
@@ -292,39 +293,51 @@
             boolean empty = view.usedOn(machine.name()).tasks == 0;
             Instant since = empty ? idleSince.computeIfAbsent(machine.name(), m -> now) : now;
             if (empty && waiting == 0 && spare - type.cpus() >= wanted && since.plus(policy.idleReturn()).isBefore(now)
-                    || free > 0 && type.cpus() <= drainable) {
+                    || free > 0 && type.cpus() <= Math.min(toDrain, spare - wanted)) {
                 draft.putMachine(draft.machine(machine.name()).meant(Fate.LEAVING));
                 spare -= free;
-                drainable -= type.cpus();
+                toDrain -= type.cpus();
             }
         }
     }
 
     /**
-     * Processors that were not needed all through the last while. In a large fleet machines are seldom empty, so those
-     * beyond the need take no more tasks and are returned when their last one ends; no work is lost.
+     * Processors that were not needed all through the last while are drained. In a large fleet machines are seldom
+     * empty, so those beyond the need take no more tasks and are returned when their last one ends; no work is lost.
      */
-    private double drainable(double excess, Instant now) {
+    private void noteExcess(double excess, Instant now) {
         if (excessSince == null) {
             excessSince = now;
             leastExcess = excess;
         }
         leastExcess = Math.min(leastExcess, excess);
-        if (excessSince.plus(policy.idleReturn()).isAfter(now)) {
-            return 0;
+        if (!excessSince.plus(policy.idleReturn()).isAfter(now)) {
+            // Room lies in fragments: what a few large machines hold is kept, which matters to small fleets alone.
+            double largest = placing.types().values().stream().mapToDouble(MachineType::cpus).max().orElse(0);
+            toDrain = leastExcess - KEPT_MACHINES * largest;
+            excessSince = null;
         }
-        // Room lies in fragments: what a few large machines hold is kept, which matters to small fleets alone.
-        double largest = placing.types().values().stream().mapToDouble(MachineType::cpus).max().orElse(0);
-        double least = leastExcess - KEPT_MACHINES * largest;
-        excessSince = null;
-        return Math.max(0, least);
     }
 
+    /** Machines of one group together: however many are marked, its record changes once. */
     private List<MachineRecord> dearestFirst() {
+        Map<String, Double> busy = new HashMap<>();
+        for (GroupRecord group : view.groups()) {
+            double used = 0;
+            double cpus = 0;
+            for (MachineRecord machine : group.machines()) {
+                MachineType type = placing.types().get(machine.type());
+                used += view.usedOn(machine.name()).cpus;
+                cpus += type == null ? 0 : type.cpus();
+            }
+            busy.put(group.id(), used / Math.max(1, cpus));
+        }
         List<MachineRecord> machines = new ArrayList<>(view.machines());
         machines.removeIf(machine -> !placing.types().containsKey(machine.type()));
         machines.sort(Comparator.<MachineRecord>comparingDouble(machine -> -new Offering(
                 placing.types().get(machine.type()), machine.zone(), machine.spot()).pricePerCpu())
+                .thenComparingDouble(machine -> busy.getOrDefault(view.groupOf(machine.name()), 0.0))
+                .thenComparing(machine -> view.groupOf(machine.name()))
                 .thenComparingDouble(machine -> view.usedOn(machine.name()).cpus));
         return machines;
     }
--- a/src/main/java/org/gullway/coordination/ReservedBooking.java
+++ b/src/main/java/org/gullway/coordination/ReservedBooking.java
@@ -20,7 +20,7 @@
     private static final Duration ROOM_PAUSE = Duration.ofMillis(500);
 
     /** In a large fleet the marks change all the time, and each change costs one of few that the store allows. */
-    private static final Duration CLOSE_PAUSE = Duration.ofMillis(500);
+    private static final Duration CLOSE_PAUSE = Duration.ofSeconds(2);
     private static final int MOST_LOOKED_AT = 256;
     /** Once so many jobs found no room, those after them have to wait for machines. */
     private static final int MOST_STUCK = 8;
--- a/src/main/java/org/gullway/coordination/Shares.java
+++ b/src/main/java/org/gullway/coordination/Shares.java
@@ -24,7 +24,7 @@
     private static final double LEAST_RAISE = 0.1;
     /** Lowering by less is not worth a change of the store. */
     private static final double LEAST_LOWERING = 0.02;
-    private static final Duration LOWERING_PAUSE = Duration.ofSeconds(1);
+    private static final Duration LOWERING_PAUSE = Duration.ofSeconds(2);
     /** Who could not use its part for so long gives it to the others, and asks again after as long. */
     private static final Duration LONGEST_UNUSED = Duration.ofSeconds(3);
     /** Urgent tasks wait for this, so it is done fast where changes are plentiful (senderos-altos steady, seed 903). */
