--- a/src/test/java/org/gullway/bookkeeping/LedgerTest.java
+++ b/src/test/java/org/gullway/bookkeeping/LedgerTest.java
@@ -90,8 +90,8 @@
                 another, new Membership(next, Duration.ofSeconds(6)), new Ledger.Pace(30, 150, 3), () -> { });
         test.calls.clear();
         restarted.start();
-        for (int i = 0; i < 60; i++) {
-            test.time.runUntil(test.time.now().plusMillis(100));
+        for (int i = 0; i < 6000; i++) {
+            test.time.runUntil(test.time.now().plusMillis(1));
             if (restarted.ready()) {
                 Draft draft = new Draft(another, next, Samples.LIMITS, Samples.DAY);
                 draft.raiseEpoch();
