--- a/src/main/java/org/gullway/transport/HttpClient.java
+++ b/src/main/java/org/gullway/transport/HttpClient.java
@@ -14,8 +14,6 @@
 import java.io.IOException;
 import java.net.URI;
 import java.nio.ByteBuffer;
-import java.time.Duration;
-import java.time.Instant;
 import java.util.ArrayDeque;
 import java.util.Deque;
 import java.util.HashMap;
@@ -30,7 +28,6 @@
 /** Calls over kept connections, each with a time limit, all on the event loop. */
 public final class HttpClient implements Client {
     private static final int IDLE_PER_ADDRESS = 4;
-    private static final Duration LATE = Duration.ofMillis(50);
 
     private final XnioEventLoop loop;
     private final ByteBufferPool buffers;
@@ -74,7 +71,7 @@
         private final Reply.Request request;
         private final Consumer<Reply> callback;
         private final ByteArrayOutputStream received = new ByteArrayOutputStream(512);
-        private Runnable cancelTimer;
+        private final Runnable cancelTimer;
         private ClientConnection connection;
         private boolean finished;
 
@@ -82,20 +79,7 @@
             this.address = address;
             this.request = request;
             this.callback = callback;
-            Instant due = loop.now().plus(request.limit());
-            this.cancelTimer = loop.after(request.limit(), () -> expired(due));
-        }
-
-        /**
-         * A timer that comes late shows that this process was busy, not that the other side was silent: an answer may
-         * lie unread, so the loop gets one turn to read it. Under a flood of reports memberships were once lost so.
-         */
-        private void expired(Instant due) {
-            if (due.plus(LATE).isBefore(loop.now())) {
-                cancelTimer = loop.after(LATE, () -> finish(unfinished()));
-            } else {
-                finish(unfinished());
-            }
+            this.cancelTimer = loop.after(request.limit(), () -> finish(unfinished()));
         }
 
         void begin() {
