--- a/src/main/java/org/gullway/coordination/MachineControl.java
+++ b/src/main/java/org/gullway/coordination/MachineControl.java
@@ -42,6 +42,8 @@
     private static final Duration RAISE_PAUSE = Duration.ofSeconds(1);
     /** Commands on their way at a time; the rest has its turn when answers come in. */
     private static final int MOST_PUSHES = 128;
+    /** Commands on their way beyond which workers are no longer asked for what they will report anyway. */
+    private static final int MOST_QUESTIONS = 8;
 
     private final ClusterView view;
     private final Incarnation self;
@@ -247,8 +249,12 @@
             }
             // Without commands it asks the worker to confirm the epoch and to say what is there.
             boolean unknown = worker.newest() == null || worker.newest().session() < record.session();
-            boolean introduce = unknown && worker.mayAsk(now)
-                    || known && !fenced && worker.newest().token() < view.epoch();
+            boolean introduce = unknown || known && !fenced && worker.newest().token() < view.epoch();
+            if (introduce && (pushing >= MOST_QUESTIONS || !worker.mayAsk(now))) {
+                // Its own report will most likely say the same: after a takeover hundreds come at once.
+                introduce = false;
+                worker.look(now.plus(RETRY));
+            }
             if (!commands.isEmpty() || introduce || worker.deafSince() != null) {
                 worker.commandSent();
                 pushing++;
