--- a/src/main/java/org/gullway/coordination/FleetPlan.java
+++ b/src/main/java/org/gullway/coordination/FleetPlan.java
@@ -167,6 +167,8 @@
             }
         }
         List<Offering> offerings = offerings(now);
+        List<Offering> cheap = offerings.stream().filter(Offering::spot).toList();
+        Guarantees guarantees = Guarantees.of(view, placing);
         Map<Offering, Integer> counts = new LinkedHashMap<>();
         List<Slot> rented = new ArrayList<>();
         int laidOut = 0;
@@ -181,7 +183,9 @@
             }
             int tasks = allowance.take(job, Math.min(job.waiting(), MOST_TASKS_LAID_OUT - laidOut));
             if (tasks > 0) {
-                laidOut += layOut(request, tasks, slots, rented, offerings);
+                // Ordinary machines cost three to four times as much: nobody is promised them beyond a guarantee.
+                boolean promised = job.reserved() || !request.spot() || guarantees.holdFor(job);
+                laidOut += layOut(request, tasks, slots, rented, promised ? offerings : cheap);
             }
         }
         if (sample != null) {
