--- a/src/main/java/org/gullway/coordination/BestEffortQueue.java
+++ b/src/main/java/org/gullway/coordination/BestEffortQueue.java
@@ -8,18 +8,15 @@
 import java.util.Comparator;
 import java.util.Deque;
 import java.util.HashMap;
-import java.util.HashSet;
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
-import java.util.Set;
 import java.util.TreeMap;
 import java.util.function.Predicate;
 import java.util.function.Supplier;
 import java.util.random.RandomGenerator;
 import org.gullway.protocol.MachineType;
 import org.gullway.protocol.Offer;
-import org.gullway.protocol.Settings;
 
 /**
  * This controller's private queue of best-effort jobs. Spare room reported by a worker pulls a fitting task out of it,
@@ -33,10 +30,6 @@
     /** For one that has not begun by then room is gathered, which leaves some unused meanwhile. */
     private static final Duration GATHER_AFTER = Duration.ofSeconds(150);
 
-    private static final Duration ROOM_PAUSE = Duration.ofSeconds(1);
-    private static final int MOST_LOOKED_AT = 256;
-    private static final int MOST_STOPPED_FOR = 32;
-
     private final ClusterView view;
     private final Placing placing;
     private final JobPauses pauses;
@@ -46,9 +39,6 @@
     private final RandomGenerator random;
     private final List<String> turns = new ArrayList<>();
     private final Map<String, Foreign> foreign = new HashMap<>();
-    /** Machines here that can be given tasks in this round. */
-    private List<MachineRecord> ready = List.of();
-    private Instant roomMadeAt = Instant.MIN;
     private Instant offeredAt = Instant.MIN;
 
     /** Room of a peer's machine that was offered here. */
@@ -137,8 +127,7 @@
                 .thenComparing(urgency::due)
                 .thenComparing(j -> j.request().id()));
         Map<MachineRecord, Offer> room = new LinkedHashMap<>();
-        ready = mine.isEmpty() && !offering ? List.of() : own.get();
-        for (MachineRecord machine : ready) {
+        for (MachineRecord machine : mine.isEmpty() && !offering ? List.<MachineRecord>of() : own.get()) {
             if (placing.freeCpus(machine, draft) > 0) {
                 room.put(machine, new Offer(machine.name(), machine.session(), List.of()));
             }
@@ -152,7 +141,7 @@
         }
         foreign.clear();
         room.keySet().removeIf(machine -> view.closed().contains(machine.name()));
-        fillAll(draft, room, mine, now);
+        fillAll(draft, room, mine);
         if (!offering) {
             // Offers of peers are passed on at once; their rate was decided where they began.
             room.values().removeIf(offer -> offer.askedAlready().isEmpty());
@@ -162,8 +151,8 @@
         return othersWait ? offers(draft, room) : List.of();
     }
 
-    private void fillAll(Draft draft, Map<MachineRecord, Offer> room, List<JobRecord> mine, Instant now) {
-        if (mine.isEmpty()) {
+    private void fillAll(Draft draft, Map<MachineRecord, Offer> room, List<JobRecord> mine) {
+        if (mine.isEmpty() || room.isEmpty()) {
             return;
         }
         // Turns by due time alone would let small jobs fill every gap for ever before a job of large tasks.
@@ -178,38 +167,6 @@
                 Integer.MAX_VALUE);
         fill(draft, room.keySet(), mine.stream().filter(late.negate()).toList(), Integer.MAX_VALUE);
         fill(draft, room.keySet(), mine, Integer.MAX_VALUE);
-        makeRoom(draft, mine, guarantees, now);
-    }
-
-    /**
-     * A team's guarantee must not wait for what others run beyond theirs: best-effort tasks of such teams are stopped
-     * on machines here, those that lose least. The room is filled by the guaranteed jobs first, as above.
-     */
-    private void makeRoom(Draft draft, List<JobRecord> mine, Guarantees guarantees, Instant now) {
-        if (roomMadeAt.plus(ROOM_PAUSE).isAfter(now)) {
-            return;
-        }
-        List<JobRecord> waiting = mine.stream().map(job -> draft.job(job.request().id()))
-                .filter(job -> job != null && job.waiting() > 0 && guarantees.holdFor(job)
-                        && placing.withinShare(job, draft) > 0).toList();
-        if (waiting.isEmpty()) {
-            return;
-        }
-        roomMadeAt = now;
-        Set<String> beyond = new HashSet<>();
-        for (Settings.Team team : placing.teams()) {
-            double used = view.shares().keySet().stream().mapToDouble(share -> view.usedOf(share, team.name()).cpus).sum();
-            if (used > team.cpus()) {
-                beyond.add(team.name());
-            }
-        }
-        List<MachineRecord> machines = ready.stream().filter(m -> !view.closed().contains(m.name())).limit(MOST_LOOKED_AT).toList();
-        RoomMaking rooms = new RoomMaking(view, placing, urgency, draft, machines);
-        for (JobRecord job : waiting) {
-            int tasks = Math.min(MOST_STOPPED_FOR, Math.min(job.waiting(), placing.withinShare(job, draft)));
-            rooms.makeRoom(job, tasks, machines, other -> beyond.contains(other.request().team())
-                    && !other.request().team().equals(job.request().team()) && !guarantees.holdFor(other));
-        }
     }
 
     /** Keeps one machine free for the first job that found no room though it waited long: it is not refilled. */
