Sockets within a budget; silence told apart from cuts and takeovers; leases kept in a cut zone

Every worker had a kept connection for commands beside its own for reports; nothing was ever closed. Now one budget from the setting: idle connections close, longest idle first; one connect at a time to a silent machine; when crowded, connections close with their answers; state service, cloud and peers have a reserve. A call put off for want of a socket does not make a machine deaf. - The first controller to open after a restart of all got all reports and lost its membership over them: it now waits up to 2.5 s for the others. - At a takeover, machines whose worker had passed by long ago were given up at once by that old time (found by the new test of a cut zone).

Aims of unknown kinds no longer keep a controller from starting.

--- a/src/main/java/org/gullway/Controller.java
+++ b/src/main/java/org/gullway/Controller.java
@@ -19,8 +19,10 @@
 import org.gullway.coordination.Incarnation;
 import org.gullway.coordination.JobPauses;
 import org.gullway.coordination.Keys;
+import org.gullway.coordination.LeaseKeeper;
 import org.gullway.coordination.MachineControl;
 import org.gullway.coordination.Membership;
+import org.gullway.coordination.Neighbours;
 import org.gullway.coordination.Placing;
 import org.gullway.coordination.Repair;
 import org.gullway.coordination.ReservedBooking;
@@ -54,6 +56,7 @@
     private static final Duration LEAST_PAUSE = Duration.ofMillis(10);
     private static final Duration LONGEST_PAUSE = Duration.ofMillis(300);
     private static final Duration ROUND_BUDGET = Duration.ofMillis(150);
+    private static final Duration WAIT_FOR_OTHERS = Duration.ofMillis(2500);
 
     private final EventLoop loop;
     private final Client http;
@@ -65,6 +68,7 @@
     private final JobPauses pauses = new JobPauses();
     private final EndedAttempts ended;
     private final MachineControl machines;
+    private final LeaseKeeper leases;
     private final Shares shares;
     private final ReservedBooking booking;
     private final BestEffortQueue queue;
@@ -80,7 +84,9 @@
     /** The commit that the present round makes. */
     private Draft draft;
     private Runnable open;
+    private Instant readySince;
     private boolean scheduled;
+    private Instant entitledAt = Instant.MIN;
     private Instant notBefore = Instant.MIN;
 
     /**
@@ -102,7 +108,10 @@
         this.placing = new Placing(settings.teams());
         Duration report = settings.reportInterval();
         this.ended = new EndedAttempts(view);
-        this.machines = new MachineControl(view, self, report, ended);
+        Map<String, String> zones = new HashMap<>();
+        settings.peers().forEach(peer -> zones.put(peer.name(), peer.zone()));
+        this.machines = new MachineControl(view, self, report, new Neighbours(zones, settings.cancelLimit()), ended);
+        this.leases = new LeaseKeeper(view, self, settings.cancelLimit());
         Urgency urgency = new Urgency(settings.objectives());
         this.booking = new ReservedBooking(view, placing, pauses, urgency);
         this.queue = new BestEffortQueue(view, placing, pauses, urgency, self.node(), report, random.split());
@@ -192,7 +201,8 @@
     }
 
     private void report(Call call) {
-        if (!ledger.entitled()) {
+        boolean entitled = ledger.entitled();
+        if (!entitled && !leases.active(entitledAt, loop.now())) {
             // Before the body is read: after a restart all workers ask again every second, and reading comes first.
             call.refuse(503, Duration.ofSeconds(1));
             return;
@@ -208,6 +218,14 @@
             call.answer(400, new byte[0]);
             return;
         }
+        if (!entitled) {
+            if (leases.keeps(report, loop.now())) {
+                call.answer(200, Command.response(view.epoch(), List.of()));
+            } else {
+                call.refuse(503, Duration.ofSeconds(1));
+            }
+            return;
+        }
         MachineControl.Answer answer = machines.report(report, loop.now());
         if (answer instanceof MachineControl.Answer.Commands commands) {
             call.answer(200, Command.response(commands.token(), commands.commands()));
@@ -277,10 +295,9 @@
         if (!ledger.entitled()) {
             return;
         }
-        if (open != null && !placing.types().isEmpty()) {
-            open.run();
-            open = null;
-        }
+        entitledAt = began;
+        leases.forget();
+        openWithOthers(began);
         machines.pushes(began).forEach(this::send);
         machines.drainNotices().forEach(this::send);
         if (ledger.ready()) {
@@ -293,6 +310,23 @@
         metrics.round(took);
     }
 
+    /**
+     * Opens the doors together with the others when all have been started anew: the first to open alone got the reports
+     * of all workers at once and lost its membership over them (senderos-altos-fleet restart, half as many machines again).
+     */
+    private void openWithOthers(Instant now) {
+        if (open == null || placing.types().isEmpty()) {
+            return;
+        }
+        if (readySince == null) {
+            readySince = now;
+        }
+        if (view.members().keySet().containsAll(meshAddresses.keySet()) || readySince.plus(WAIT_FOR_OTHERS).isBefore(now)) {
+            open.run();
+            open = null;
+        }
+    }
+
     private void decide(Instant now) {
         ledger.share(leads());
         Draft made = new Draft(view, self, limits.atMost(ledger.changesLeft()), timeOfDay.instant());
@@ -324,7 +358,12 @@
         byte[] body = Command.direct(push.token(), push.session(), push.commands());
         http.call(push.address(), Reply.Request.post("/do", body, COMMAND_LIMIT), reply -> {
             boolean answered = reply.kind() == Reply.Kind.ANSWERED && (reply.status() == 200 || reply.status() == 409);
-            machines.pushEnded(push, !answered && reply.kind() != Reply.Kind.NOT_SENT, !answered, loop.now());
+            MachineControl.Outcome outcome = answered ? MachineControl.Outcome.ANSWERED : switch (reply.kind()) {
+                case NO_SOCKET -> MachineControl.Outcome.NOT_TRIED;
+                case NOT_SENT -> MachineControl.Outcome.NOT_SENT;
+                default -> MachineControl.Outcome.UNKNOWN;
+            };
+            machines.pushEnded(push, outcome, loop.now());
             if (answered) {
                 try {
                     machines.answered(WorkerReport.parse(Cbor.decode(reply.body())), loop.now());
--- a/src/main/java/org/gullway/Daemon.java
+++ b/src/main/java/org/gullway/Daemon.java
@@ -4,10 +4,14 @@
 import io.undertow.server.DefaultByteBufferPool;
 import java.io.IOException;
 import java.time.InstantSource;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Set;
 import org.gullway.protocol.OperatorSettings;
 import org.gullway.protocol.Settings;
 import org.gullway.transport.HttpClient;
 import org.gullway.transport.HttpServer;
+import org.gullway.transport.Sockets;
 import org.gullway.transport.XnioEventLoop;
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
@@ -37,13 +41,16 @@
         ByteBufferPool buffers = new DefaultByteBufferPool(false, BUFFER, 256, 4);
         XnioEventLoop loop = new XnioEventLoop(worker.getIoThread());
         long seed = System.nanoTime() ^ System.currentTimeMillis() << 20 ^ settings.nodeName().hashCode();
-        Controller controller = new Controller(settings, operator, loop, new HttpClient(loop, buffers),
+        Sockets sockets = new Sockets(settings.sockets());
+        Set<String> essential = new HashSet<>(List.of(settings.stateAddress(), settings.cloudAddress()));
+        settings.peers().forEach(peer -> essential.add(peer.address()));
+        Controller controller = new Controller(settings, operator, loop, new HttpClient(loop, buffers, sockets, essential),
                 InstantSource.system(), seed);
-        HttpServer.start(worker, buffers, settings.meshAddress(), BODY_LIMIT, controller::answerPeer);
+        HttpServer.start(worker, buffers, sockets, settings.meshAddress(), BODY_LIMIT, controller::answerPeer);
         LOG.info("{} listens on {} to the other controllers", settings.nodeName(), settings.meshAddress());
         loop.execute(() -> controller.start(() -> worker.execute(() -> {
             try {
-                HttpServer.start(worker, buffers, settings.publicAddress(), BODY_LIMIT, controller::answer);
+                HttpServer.start(worker, buffers, sockets, settings.publicAddress(), BODY_LIMIT, controller::answer);
                 LOG.info("{} listens on {}", settings.nodeName(), settings.publicAddress());
             } catch (RuntimeException e) {
                 // A controller that nobody can reach must not stay a member.
--- a/src/main/java/org/gullway/coordination/MachineControl.java
+++ b/src/main/java/org/gullway/coordination/MachineControl.java
@@ -4,7 +4,6 @@
 import java.time.Instant;
 import java.util.ArrayList;
 import java.util.Collection;
-import java.util.Collections;
 import java.util.HashMap;
 import java.util.HashSet;
 import java.util.LinkedHashMap;
@@ -34,10 +33,7 @@
     private static final Duration TOLD_IN_VAIN = Duration.ofSeconds(4);
     private static final Duration NOTICE_MARGIN = Duration.ofSeconds(1);
     private static final Duration ERROR_WINDOW = Duration.ofMinutes(2);
-    /** A worker waits so long for an answer before it turns to another controller. */
-    private static final Duration ANSWER_LIMIT = Duration.ofSeconds(4);
     private static final int ERRORS_OF_JOBS = 2;
-    private static final Duration GIVE_UP_EVERY = Duration.ofMillis(500);
     /** Every worker reports once more when the epoch has risen, so starts without an answer are settled together. */
     private static final Duration RAISE_PAUSE = Duration.ofSeconds(1);
     /** Commands on their way at a time; the rest has its turn when answers come in. */
@@ -50,6 +46,7 @@
     private final Duration reportInterval;
     private final EndedAttempts ended;
     private final Map<String, Worker> workers = new LinkedHashMap<>();
+    private final SilentMachines silent;
     /** Machines here whose session on record may be behind. */
     private final Set<String> newSessions = new HashSet<>();
     /** Groups of a controller that some of their workers cannot reach. */
@@ -57,24 +54,19 @@
     private final Map<String, List<EndNotice>> notices = new TreeMap<>();
     private int pushing;
     private Instant raisedAt = Instant.MIN;
-    private Instant gaveUpAt = Instant.MIN;
-    /** Since when reports are taken without a break; before that, silence says nothing about a worker. */
-    private Instant listeningSince = Instant.MAX;
 
-    public MachineControl(ClusterView view, Incarnation self, Duration reportInterval, EndedAttempts ended) {
+    public MachineControl(ClusterView view, Incarnation self, Duration reportInterval, Neighbours neighbours,
+                          EndedAttempts ended) {
         this.view = view;
         this.self = self;
         this.reportInterval = reportInterval;
         this.ended = ended;
+        this.silent = new SilentMachines(view, self, reportInterval, neighbours, workers);
     }
 
     /** To be told in every round whether this controller is entitled to act, and so takes reports. */
     public void entitled(boolean entitled, Instant now) {
-        if (!entitled) {
-            listeningSince = Instant.MAX;
-        } else if (listeningSince.equals(Instant.MAX)) {
-            listeningSince = now;
-        }
+        silent.entitled(entitled, now);
     }
 
     /** How a report is answered. */
@@ -112,8 +104,9 @@
             String better = view.isLive(record.controller()) ? record.controller().node()
                     : successor(view.group(view.groupOf(record.name())));
             if (!self.node().equals(better)) {
-                stray(record, now);
-                return new Answer.Elsewhere(better);
+                // While its group is being taken over, an answer keeps its lease; the way back there would only fail.
+                return stray(record, now) ? new Answer.Commands(view.epoch(), List.of(), true)
+                        : new Answer.Elsewhere(better);
             }
         }
         Worker known = workers.computeIfAbsent(report.machine(), m -> new Worker(now));
@@ -126,14 +119,18 @@
         return new Answer.Commands(view.epoch(), forgets(known, record), changed);
     }
 
-    /** A worker that comes back after it was sent on cannot reach its controller. */
-    private void stray(MachineRecord record, Instant now) {
+    /** Whether a worker that was sent on is back because it cannot reach its controller, and may stay for one report. */
+    private boolean stray(MachineRecord record, Instant now) {
         Worker worker = workers.computeIfAbsent(record.name(), m -> new Worker(now));
         if (worker.strayedAt() == null || worker.strayedAt().plus(reportInterval.multipliedBy(10)).isBefore(now)) {
             worker.strayed(now);
-        } else if (view.isLive(record.controller())) {
-            strayGroups.add(view.groupOf(record.name()));
+            return false;
+        }
+        if (!view.isLive(record.controller())) {
+            return false;
         }
+        strayGroups.add(view.groupOf(record.name()));
+        return worker.mayStay();
     }
 
     /**
@@ -160,18 +157,27 @@
         }
     }
 
-    /** The outcome of a push: unknown if the worker may still get it. */
-    public void pushEnded(Push push, boolean unknown, boolean failed, Instant now) {
+    /** What became of a push. */
+    public enum Outcome {
+        ANSWERED,
+        /** This controller had no socket for it, which says nothing about the worker. */
+        NOT_TRIED,
+        NOT_SENT,
+        /** The worker may have got it, or may still get it. */
+        UNKNOWN
+    }
+
+    public void pushEnded(Push push, Outcome outcome, Instant now) {
         pushing--;
         Worker worker = workers.get(push.machine());
         if (worker != null) {
-            if (unknown && push.starts()) {
+            if (outcome == Outcome.UNKNOWN && push.starts()) {
                 worker.startUnknown(push.token());
             }
-            if (failed) {
-                worker.commandFailed(push.sent(), now, RETRY);
-            } else {
-                worker.commandAnswered(now);
+            switch (outcome) {
+                case ANSWERED -> worker.commandAnswered(now);
+                case NOT_TRIED -> worker.commandPutOff(now, RETRY);
+                default -> worker.commandFailed(push.sent(), now, RETRY);
             }
         }
     }
@@ -206,7 +212,9 @@
         for (String name : view.drainTouched()) {
             MachineRecord record = view.machine(name);
             if (record != null && record.up() && self.equals(record.controller())) {
-                workers.computeIfAbsent(name, n -> new Worker(now)).look(now);
+                Worker worker = workers.computeIfAbsent(name, n -> new Worker(now));
+                worker.commandedUnder(record.epoch(), now);
+                worker.look(now);
             }
         }
     }
@@ -377,7 +385,7 @@
             raisedAt = now;
             draft.raiseEpoch();
         }
-        giveUp(draft, now);
+        silent.propose(draft, now);
     }
 
     /**
@@ -454,50 +462,6 @@
         }
     }
 
-    /**
-     * A machine that has been silent for several intervals is given up, and so is one whose reports arrive but which
-     * answers no command: its reports look alive, yet nothing can be started or stopped there. While all are silent or
-     * deaf the fault is more likely to be this controller's own network, and then it takes longer.
-     */
-    private void giveUp(Draft draft, Instant now) {
-        if (gaveUpAt.plus(GIVE_UP_EVERY).isAfter(now)) {
-            return;
-        }
-        gaveUpAt = now;
-        Instant limit = now.minus(reportInterval.multipliedBy(2).plus(ANSWER_LIMIT));
-        if (!listeningSince.isBefore(limit)) {
-            // After an outage of the state store all workers have been refused for a while (simulated day 99336).
-            return;
-        }
-        Instant longLimit = limit.minus(reportInterval.multipliedBy(4));
-        Instant recent = now.minus(reportInterval.multipliedBy(2));
-        List<String> candidates = new ArrayList<>();
-        boolean othersWell = false;
-        for (Map.Entry<String, Worker> entry : workers.entrySet()) {
-            Worker worker = entry.getValue();
-            MachineRecord record = view.machine(entry.getKey());
-            if (record == null || !record.up() || !self.equals(record.controller())) {
-                continue;
-            }
-            if (lostSince(worker).isBefore(limit)) {
-                candidates.add(entry.getKey());
-            }
-            othersWell |= worker.heard().isAfter(recent) && worker.deafSince() == null;
-        }
-        for (String name : candidates) {
-            MachineRecord record = draft.machine(name);
-            boolean forLong = lostSince(workers.get(name)).isBefore(longLimit);
-            if (record != null && (othersWell || forLong) && record.fate() != Fate.LOST && draft.canPutMachine(name)) {
-                draft.putMachine(record.meant(Fate.LOST));
-            }
-        }
-    }
-
-    private static Instant lostSince(Worker worker) {
-        return worker.deafSince() == null ? worker.heard()
-                : Collections.min(List.of(worker.heard(), worker.deafSince()));
-    }
-
     /** Machines here that can be given tasks now. */
     public List<MachineRecord> ready(Instant now) {
         List<MachineRecord> ready = new ArrayList<>();
--- a/src/main/java/org/gullway/coordination/MachineRecord.java
+++ b/src/main/java/org/gullway/coordination/MachineRecord.java
@@ -17,6 +17,8 @@
     /** What is meant to become of a machine. */
     public enum Fate {
         STAYS,
+        /** Has missed a report, or does not hear: takes no more tasks until it is heard again. */
+        SILENT,
         /** Takes no more tasks and is returned when it has none. */
         LEAVING,
         /** Is returned at once, with all that is on it. */
--- /dev/null
+++ b/src/main/java/org/gullway/coordination/Neighbours.java
@@ -0,0 +1,17 @@
+package org.gullway.coordination;
+
+import java.time.Duration;
+import java.util.List;
+import java.util.Map;
+
+/**
+ * The other controllers of the deployment as the settings name them.
+ *
+ * @param zoneOf the zone of each by its name
+ * @param cancelLimit how long tasks of a cancelled job may be on a machine
+ */
+public record Neighbours(Map<String, String> zoneOf, Duration cancelLimit) {
+    List<String> inZone(String zone) {
+        return zoneOf.entrySet().stream().filter(e -> e.getValue().equals(zone)).map(Map.Entry::getKey).toList();
+    }
+}
--- a/src/main/java/org/gullway/coordination/Worker.java
+++ b/src/main/java/org/gullway/coordination/Worker.java
@@ -22,6 +22,8 @@
     /** When the keeper of the job was first and last told of an end that is not on record yet. */
     private final Map<AttemptId, Told> told = new HashMap<>();
     private Instant heard;
+    private Instant reported = Instant.MIN;
+    private long commandedUnder;
     private Instant noticeEnd;
     /** A start was sent under this token and its outcome is open; only a higher confirmed token rules it out. */
     private long openBelow;
@@ -33,6 +35,7 @@
     private Instant lookAt = Instant.MIN;
     /** When the worker first came here although another controller commands its machine. */
     private Instant strayedAt;
+    private boolean stays;
     private final Map<String, Instant> failedJobs = new HashMap<>();
 
     private record Told(Instant first, Instant last) {
@@ -57,6 +60,7 @@
                 && newest.tasks().equals(report.tasks());
         newest = report;
         heard = now;
+        reported = now;
         if (!same) {
             takeTasks(report);
             look(now);
@@ -98,10 +102,16 @@
         return tasks;
     }
 
+    /** Since when it counts as silent: its last message, or the beginning of listening to it. */
     Instant heard() {
         return heard;
     }
 
+    /** When its last message came. */
+    Instant reported() {
+        return reported;
+    }
+
     /** When the cloud takes the machine away, or null. */
     Instant noticeEnd() {
         return noticeEnd;
@@ -135,9 +145,13 @@
     }
 
     void commandFailed(Instant sent, Instant now, Duration quiet) {
+        deafSince = deafSince == null ? sent : deafSince;
+        commandPutOff(now, quiet);
+    }
+
+    void commandPutOff(Instant now, Duration quiet) {
         commanding = false;
         quietUntil = now.plus(quiet);
-        deafSince = deafSince == null ? sent : deafSince;
         look(quietUntil);
     }
 
@@ -196,12 +210,31 @@
         return told.containsKey(id) && told.get(id).first().isBefore(limit);
     }
 
+    /**
+     * Its machine is commanded here under this epoch. What was heard before a takeover says nothing: a worker that had
+     * only passed by here long ago was once given up at the moment of the takeover (TroublesTest, zone that is cut off).
+     */
+    void commandedUnder(long epoch, Instant now) {
+        if (epoch != commandedUnder) {
+            commandedUnder = epoch;
+            heard = now;
+            deafSince = null;
+        }
+    }
+
     Instant strayedAt() {
         return strayedAt;
     }
 
     void strayed(Instant at) {
         strayedAt = at;
+        stays = false;
+    }
+
+    /** Every other time: a worker that alone cannot reach its controller must not stay where nobody commands it. */
+    boolean mayStay() {
+        stays = !stays;
+        return stays;
     }
 
     void failed(String job, Instant now) {
--- a/src/main/java/org/gullway/protocol/Settings.java
+++ b/src/main/java/org/gullway/protocol/Settings.java
@@ -43,8 +43,8 @@
     public record Team(String name, double cpus, double cpusMax, double cards, double cardsMax) {
     }
 
-    /** One of the users' aims on starting and finishing; {@code within} is null where the aim has none. */
-    public record Objective(String kind, String jobClass, Duration within, double share) {
+    /** An aim for one class of jobs; {@code within} is null where the aim has none. */
+    public record Objective(String kind, String jobClass, Duration within) {
     }
 
     public static Settings read(Path file) throws MalformedException {
@@ -77,8 +77,11 @@
         }
         List<Objective> objectives = new ArrayList<>();
         for (Fields objective : facts.list("objectives")) {
-            objectives.add(new Objective(objective.text("kind"), objective.textOrNull("class"),
-                    objective.secondsOrNull("within_s"), objective.amount("share")));
+            // Aims of kinds that are not known yet, or of another form, must not keep a controller from starting.
+            if (objective.has("kind") && objective.has("class")) {
+                objectives.add(new Objective(objective.text("kind"), objective.text("class"),
+                        objective.secondsOrNull("within_s")));
+            }
         }
         Fields workers = facts.inner("workers");
         Fields state = facts.inner("state");
--- a/src/main/java/org/gullway/transport/HttpClient.java
+++ b/src/main/java/org/gullway/transport/HttpClient.java
@@ -14,10 +14,7 @@
 import java.io.IOException;
 import java.net.URI;
 import java.nio.ByteBuffer;
-import java.util.ArrayDeque;
-import java.util.Deque;
-import java.util.HashMap;
-import java.util.Map;
+import java.util.Set;
 import java.util.function.Consumer;
 import org.xnio.ChannelListener;
 import org.xnio.IoUtils;
@@ -27,15 +24,18 @@
 
 /** Calls over kept connections, each with a time limit, all on the event loop. */
 public final class HttpClient implements Client {
-    private static final int IDLE_PER_ADDRESS = 4;
-
     private final XnioEventLoop loop;
     private final ByteBufferPool buffers;
-    private final Map<String, Deque<ClientConnection>> idle = new HashMap<>();
+    private final ConnectionPool<ClientConnection> connections;
 
-    public HttpClient(XnioEventLoop loop, ByteBufferPool buffers) {
+    /**
+     * @param sockets what connections may take of the process's sockets
+     * @param essential addresses that are always called, whatever else is open
+     */
+    public HttpClient(XnioEventLoop loop, ByteBufferPool buffers, Sockets sockets, Set<String> essential) {
         this.loop = loop;
         this.buffers = buffers;
+        this.connections = new ConnectionPool<>(sockets, essential, IoUtils::safeClose);
     }
 
     @Override
@@ -43,29 +43,6 @@
         new Call(address, request, callback).begin();
     }
 
-    private void keep(String address, ClientConnection connection) {
-        Deque<ClientConnection> kept = idle.computeIfAbsent(address, a -> new ArrayDeque<>());
-        if (connection.isOpen() && kept.size() < IDLE_PER_ADDRESS) {
-            kept.addLast(connection);
-        } else {
-            IoUtils.safeClose(connection);
-        }
-    }
-
-    private ClientConnection reuse(String address) {
-        Deque<ClientConnection> kept = idle.get(address);
-        while (kept != null && !kept.isEmpty()) {
-            ClientConnection connection = kept.pollLast();
-            if (connection.isOpen()) {
-                return connection;
-            }
-        }
-        if (kept != null) {
-            idle.remove(address);
-        }
-        return null;
-    }
-
     private final class Call {
         private final String address;
         private final Reply.Request request;
@@ -73,6 +50,7 @@
         private final ByteArrayOutputStream received = new ByteArrayOutputStream(512);
         private final Runnable cancelTimer;
         private ClientConnection connection;
+        private boolean connecting;
         private boolean finished;
 
         Call(String address, Reply.Request request, Consumer<Reply> callback) {
@@ -83,16 +61,27 @@
         }
 
         void begin() {
-            ClientConnection kept = reuse(address);
+            ClientConnection kept = connections.reuse(address, ClientConnection::isOpen);
             if (kept != null) {
                 send(kept);
                 return;
             }
+            if (connections.isAbandoned(address)) {
+                finish(Reply.notSent());
+                return;
+            }
+            if (!connections.mayConnect(address)) {
+                finish(Reply.noSocket());
+                return;
+            }
+            connecting = true;
             UndertowClient.getInstance().connect(new ClientCallback<>() {
                 @Override
                 public void completed(ClientConnection made) {
+                    connectEnded();
+                    made.addCloseListener(connections::closedByPeer);
                     if (finished) {
-                        IoUtils.safeClose(made);
+                        connections.keep(address, made);
                     } else {
                         send(made);
                     }
@@ -100,11 +89,20 @@
 
                 @Override
                 public void failed(IOException e) {
+                    connectEnded();
+                    connections.connectFailed();
                     finish(Reply.notSent());
                 }
             }, URI.create("http://" + address), loop.thread(), buffers, OptionMap.EMPTY);
         }
 
+        private void connectEnded() {
+            connecting = false;
+            if (finished) {
+                connections.abandonedEnded(address);
+            }
+        }
+
         /** Until a connection stands nothing was sent; from then on the outcome is open. */
         private Reply unfinished() {
             return connection == null ? Reply.notSent() : Reply.unknown();
@@ -195,7 +193,7 @@
                         ClientConnection mine = connection;
                         if (!finished && !close) {
                             connection = null;
-                            keep(address, mine);
+                            connections.keep(address, mine);
                         }
                         finish(reply);
                         return;
@@ -219,7 +217,12 @@
             }
             finished = true;
             cancelTimer.run();
-            IoUtils.safeClose(connection);
+            if (connecting) {
+                connections.abandon(address);
+            }
+            if (connection != null) {
+                connections.discard(connection);
+            }
             callback.accept(reply);
         }
     }
--- a/src/main/java/org/gullway/transport/HttpServer.java
+++ b/src/main/java/org/gullway/transport/HttpServer.java
@@ -4,12 +4,15 @@
 import io.undertow.UndertowOptions;
 import io.undertow.connector.ByteBufferPool;
 import io.undertow.server.HttpServerExchange;
+import io.undertow.server.ServerConnection;
+import io.undertow.util.AttachmentKey;
 import io.undertow.util.Headers;
 import io.undertow.util.SameThreadExecutor;
 import java.nio.ByteBuffer;
 import java.time.Duration;
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
+import org.xnio.Options;
 import org.xnio.XnioWorker;
 
 /** Listens on one address and hands whole requests to a handler on the event loop. */
@@ -25,10 +28,12 @@
     private static final class ExchangeCall implements Call {
         private final HttpServerExchange exchange;
         private final byte[] body;
+        private final Sockets sockets;
 
-        private ExchangeCall(HttpServerExchange exchange, byte[] body) {
+        private ExchangeCall(HttpServerExchange exchange, byte[] body, Sockets sockets) {
             this.exchange = exchange;
             this.body = body;
+            this.sockets = sockets;
         }
 
         @Override
@@ -56,6 +61,9 @@
             if (exchange.isResponseStarted()) {
                 return;
             }
+            if (sockets.crowded()) {
+                exchange.setPersistent(false);
+            }
             exchange.setStatusCode(status);
             if (content.length > 0) {
                 exchange.getResponseHeaders().put(Headers.CONTENT_TYPE, "application/cbor");
@@ -75,47 +83,65 @@
         }
     }
 
+    private static final AttachmentKey<Boolean> COUNTED = AttachmentKey.create(Boolean.class);
+
     private HttpServer() {
     }
 
-    public static void start(XnioWorker worker, ByteBufferPool buffers, String address, int bodyLimit, Handler handler) {
+    /** @param sockets what connections may take of the process's sockets */
+    public static void start(XnioWorker worker, ByteBufferPool buffers, Sockets sockets, String address, int bodyLimit,
+                             Handler handler) {
         int colon = address.lastIndexOf(':');
         Undertow.builder()
                 .setWorker(worker)
                 .setByteBufferPool(buffers)
+                .setSocketOption(Options.CONNECTION_HIGH_WATER, sockets.mostAccepted())
+                .setSocketOption(Options.CONNECTION_LOW_WATER, sockets.mostAccepted() - 1)
                 .addHttpListener(Integer.parseInt(address.substring(colon + 1)), address.substring(0, colon))
                 .setServerOption(UndertowOptions.ALWAYS_SET_DATE, false)
                 .setServerOption(UndertowOptions.ALWAYS_SET_KEEP_ALIVE, false)
                 .setServerOption(UndertowOptions.MAX_HEADER_SIZE, 16 * 1024)
                 .setServerOption(UndertowOptions.REQUEST_PARSE_TIMEOUT, 10_000)
                 .setServerOption(UndertowOptions.NO_REQUEST_TIMEOUT, 120_000)
-                .setHandler(exchange -> receive(exchange, bodyLimit, handler))
+                .setHandler(exchange -> {
+                    count(sockets, exchange.getConnection());
+                    receive(exchange, sockets, bodyLimit, handler);
+                })
                 .build()
                 .start();
     }
 
-    private static void receive(HttpServerExchange exchange, int limit, Handler handler) {
+    /** A connection counts from its first request on. */
+    private static void count(Sockets sockets, ServerConnection connection) {
+        if (connection.getAttachment(COUNTED) == null) {
+            connection.putAttachment(COUNTED, true);
+            sockets.accepted(1);
+            connection.addCloseListener(closed -> sockets.accepted(-1));
+        }
+    }
+
+    private static void receive(HttpServerExchange exchange, Sockets sockets, int limit, Handler handler) {
         if (exchange.getRequestContentLength() > limit) {
             exchange.setPersistent(false);
-            hand(exchange, null, handler);
+            hand(exchange, null, sockets, handler);
             return;
         }
         exchange.setMaxEntitySize(limit);
         exchange.getRequestReceiver().receiveFullBytes(
-                (ex, bytes) -> hand(ex, bytes, handler),
+                (ex, bytes) -> hand(ex, bytes, sockets, handler),
                 (ex, error) -> {
                     ex.setPersistent(false);
-                    hand(ex, null, handler);
+                    hand(ex, null, sockets, handler);
                 });
     }
 
-    private static void hand(HttpServerExchange exchange, byte[] body, Handler handler) {
+    private static void hand(HttpServerExchange exchange, byte[] body, Sockets sockets, Handler handler) {
         exchange.dispatch(SameThreadExecutor.INSTANCE, () -> {
             try {
-                handler.handle(new ExchangeCall(exchange, body));
+                handler.handle(new ExchangeCall(exchange, body, sockets));
             } catch (RuntimeException e) {
                 LOG.error("{} {} failed", exchange.getRequestMethod(), exchange.getRequestPath(), e);
-                new ExchangeCall(exchange, body).refuse(503, Duration.ofSeconds(2));
+                new ExchangeCall(exchange, body, sockets).refuse(503, Duration.ofSeconds(2));
             }
         });
     }
--- a/src/main/java/org/gullway/transport/Reply.java
+++ b/src/main/java/org/gullway/transport/Reply.java
@@ -10,6 +10,8 @@
         ANSWERED,
         /** The connection was never made, so the request was certainly not carried out. */
         NOT_SENT,
+        /** The same, for want of sockets here: it says nothing about the other side. */
+        NO_SOCKET,
         /** The request may have been carried out, or may still be carried out later. */
         UNKNOWN
     }
@@ -22,6 +24,10 @@
         return new Reply(Kind.NOT_SENT, 0, EMPTY);
     }
 
+    static Reply noSocket() {
+        return new Reply(Kind.NO_SOCKET, 0, EMPTY);
+    }
+
     public static Reply unknown() {
         return new Reply(Kind.UNKNOWN, 0, EMPTY);
     }
--- /dev/null
+++ b/src/main/java/org/gullway/transport/Sockets.java
@@ -0,0 +1,45 @@
+package org.gullway.transport;
+
+/**
+ * The sockets that the platform allows this process, and how they are divided: a reserve for the state service, the
+ * cloud and the other controllers; the rest goes to connections that others open to us and, as far as these leave
+ * any, to those that we open to workers.
+ *
+ * <p>Once a large part is taken, connections of workers are closed with each answer, so that new ones of users and of
+ * health checks are always taken: beyond the limit they would fail, and with them the service (a controller alone with
+ * all workers of the fleet deployments has two connections for each).
+ */
+public final class Sockets {
+    private static final double ACCEPTED_PART = 0.85;
+    private static final double CROWDED_PART = 0.75;
+    private static final double WORKERS_PART = 0.93;
+    private static final int LEAST_FOR_WORKERS = 8;
+
+    private final int limit;
+    private int accepted;
+
+    /** @param limit sockets that the process may have open at a time */
+    public Sockets(int limit) {
+        this.limit = limit;
+    }
+
+    /** Connections that may be accepted at a time. */
+    int mostAccepted() {
+        return Math.max(1, (int) (limit * ACCEPTED_PART));
+    }
+
+    /** To be told of every connection that was accepted, and of its end. */
+    void accepted(int change) {
+        accepted += change;
+    }
+
+    /** Whether connections should be closed with the answer, so that others can come. */
+    public boolean crowded() {
+        return accepted > limit * CROWDED_PART;
+    }
+
+    /** How many connections we may have open, apart from the reserve. */
+    int forWorkers() {
+        return Math.max(LEAST_FOR_WORKERS, (int) (limit * WORKERS_PART) - accepted);
+    }
+}
--- a/src/test/java/org/gullway/Trouble.java
+++ b/src/test/java/org/gullway/Trouble.java
@@ -81,6 +81,14 @@
                     .limit(1 + random.nextInt(5)).forEach(world.cloud::take);
         }
     },
+    ZONE_CUT {
+        @Override
+        void strike(SimulatedWorld world, SplittableRandom random, Duration span) {
+            String zone = random.nextBoolean() ? "a" : "b";
+            world.cutZone(zone, true);
+            world.after(span, () -> world.cutZone(zone, false));
+        }
+    },
     MACHINES_CUT {
         @Override
         void strike(SimulatedWorld world, SplittableRandom random, Duration span) {
--- a/src/test/java/org/gullway/TroublesTest.java
+++ b/src/test/java/org/gullway/TroublesTest.java
@@ -78,6 +78,36 @@
         finishes(world, Duration.ofSeconds(200));
     }
 
+    /** Its controller keeps the leases there and the others wait for it: no task is lost, also beyond a lease. */
+    @Property(tries = 6, seed = "26")
+    void theWorkOfAZoneThatIsCutOffGoesOn(@ForAll @IntRange(min = 1, max = 1000) int seed) {
+        SimulatedWorld world = new SimulatedWorld(seed, 0, 3);
+        for (int i = 1; i <= 6; i++) {
+            world.submit(i, i % 2 == 0 ? "red" : "blue", Rank.NORMAL, 2, 4, Duration.ofSeconds(55 + i));
+        }
+        world.run(Duration.ofSeconds(25));
+        assertThat(world.started()).isEqualTo(12);
+        world.cutZone("b", true);
+        world.run(SimulatedWorld.LEASE.multipliedBy(2));
+        world.cutZone("b", false);
+        finishes(world, Duration.ofSeconds(100));
+        assertThat(world.started()).as("none began anew").isEqualTo(12);
+    }
+
+    /** The same with a cancellation: nobody can stop those tasks, but the cloud ends them in time. */
+    @Property(tries = 6, seed = "27")
+    void cancelledTasksInAZoneThatIsCutOffAreGoneInTime(@ForAll @IntRange(min = 1, max = 1000) int seed) {
+        SimulatedWorld world = new SimulatedWorld(seed, 0, 3);
+        for (int i = 1; i <= 6; i++) {
+            world.submit(i, i % 2 == 0 ? "red" : "blue", Rank.NORMAL, 2, 4, Duration.ofSeconds(200));
+        }
+        world.run(Duration.ofSeconds(25));
+        world.cutZone("b", true);
+        world.after(Duration.ofSeconds(9), () -> world.users().forEach(SimulatedWorld.User::cancel));
+        world.after(Duration.ofSeconds(70), () -> world.cutZone("b", false));
+        finishes(world, Duration.ofSeconds(150));
+    }
+
     /** Processes are back within milliseconds, again and again, also while a leader is being chosen. */
     @Property(tries = 6, seed = "24")
     void restartsWithinMillisecondsDuringAnElection(@ForAll @IntRange(min = 1, max = 1000) int seed) {
--- a/src/test/java/org/gullway/coordination/Samples.java
+++ b/src/test/java/org/gullway/coordination/Samples.java
@@ -13,6 +13,9 @@
 public final class Samples {
     public static final Incarnation SELF = new Incarnation("perch-0", 17);
     public static final Incarnation PEER = new Incarnation("perch-1", 18);
+    /** perch-1 is beside this one, perch-2 in another zone. */
+    public static final Neighbours NEIGHBOURS =
+            new Neighbours(Map.of("perch-1", "a", "perch-2", "b"), Duration.ofSeconds(40));
     public static final Instant DAY = Instant.parse("2026-11-20T06:00:00Z");
     public static final Draft.Limits LIMITS = new Draft.Limits(24, 16 * 1024);
 
--- /dev/null
+++ b/src/test/java/org/gullway/transport/ConnectionPoolTest.java
@@ -0,0 +1,130 @@
+package org.gullway.transport;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import java.util.ArrayList;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Set;
+import java.util.SplittableRandom;
+import net.jqwik.api.ForAll;
+import net.jqwik.api.Property;
+import net.jqwik.api.constraints.IntRange;
+import org.junit.jupiter.api.Test;
+
+class ConnectionPoolTest {
+    private static final String STATE = "10.2.0.1:2379";
+
+    private final List<String> closed = new ArrayList<>();
+    private final Sockets sockets = new Sockets(100);
+    private final ConnectionPool<String> pool = new ConnectionPool<>(sockets, Set.of(STATE), closed::add);
+
+    private void use(String address, String connection) {
+        assertThat(pool.mayConnect(address)).isTrue();
+        pool.keep(address, connection);
+    }
+
+    /** All workers of a fleet at one controller: with a connection kept to each, sockets would run out. */
+    @Test
+    void closesTheConnectionThatWasIdleLongestWhenTheBudgetIsUsedUp() {
+        sockets.accepted(83);
+        for (int i = 0; i < 10; i++) {
+            use("10.1.0." + i + ":9000", "c" + i);
+        }
+        assertThat(pool.reuse("10.1.0.0:9000", c -> true)).isEqualTo("c0");
+        pool.keep("10.1.0.0:9000", "c0");
+        use("10.1.0.99:9000", "new");
+        assertThat(closed).containsExactly("c1");
+        assertThat(pool.open()).isEqualTo(10);
+        sockets.accepted(-20);
+        use("10.1.0.98:9000", "more");
+        assertThat(closed).as("as others leave room").hasSize(1);
+    }
+
+    /** Machines that are cut off take one socket each at most, and never those of the state service. */
+    @Test
+    void aConnectThatWasGivenUpIsNotRepeatedUntilItEnds() {
+        String silent = "10.1.0.7:9000";
+        assertThat(pool.mayConnect(silent)).isTrue();
+        pool.abandon(silent);
+        assertThat(pool.isAbandoned(silent)).isTrue();
+        pool.abandonedEnded(silent);
+        pool.connectFailed();
+        assertThat(pool.isAbandoned(silent)).isFalse();
+        assertThat(pool.open()).isZero();
+        sockets.accepted(92);
+        for (int i = 0; i < 50; i++) {
+            pool.mayConnect("10.1.1." + i + ":9000");
+        }
+        assertThat(pool.open()).isEqualTo(sockets.forWorkers());
+        pool.abandon(STATE);
+        assertThat(pool.isAbandoned(STATE)).isFalse();
+        assertThat(pool.mayConnect(STATE)).isTrue();
+    }
+
+    @Test
+    void forgetsWhatTheOtherSideHasClosed() {
+        use("10.1.0.1:9000", "a");
+        pool.closedByPeer("a");
+        assertThat(pool.reuse("10.1.0.1:9000", c -> true)).isNull();
+        assertThat(pool.open()).isZero();
+        use("10.1.0.1:9000", "b");
+        assertThat(pool.reuse("10.1.0.1:9000", c -> false)).as("found closed when it was to be used").isNull();
+        assertThat(pool.open()).isZero();
+    }
+
+    @Test
+    void mostSocketsTakenMeansThatConnectionsCloseWithTheirAnswers() {
+        sockets.accepted(70);
+        assertThat(sockets.crowded()).isFalse();
+        sockets.accepted(8);
+        assertThat(sockets.crowded()).isTrue();
+        sockets.accepted(sockets.mostAccepted() - 78);
+        assertThat(sockets.mostAccepted() + sockets.forWorkers()).as("leaves a reserve").isLessThan(95);
+    }
+
+    /** Whatever happens in whatever order, what is open is what was opened and not closed, within the budget. */
+    @Property(tries = 200, seed = "31")
+    void countsWhatIsOpen(@ForAll @IntRange(min = 0, max = 100_000) int seed) {
+        SplittableRandom random = new SplittableRandom(seed);
+        Set<String> open = new HashSet<>();
+        ConnectionPool<String> generated = new ConnectionPool<>(sockets, Set.of(STATE), open::remove);
+        List<String[]> inCall = new ArrayList<>();
+        int made = 0;
+        for (int step = 0; step < 300; step++) {
+            String address = "10.1.0." + random.nextInt(120) + ":9000";
+            switch (random.nextInt(4)) {
+                case 0 -> {
+                    String kept = generated.reuse(address, c -> random.nextInt(5) > 0);
+                    if (kept != null) {
+                        inCall.add(new String[] {address, kept});
+                    } else if (generated.mayConnect(address)) {
+                        open.add("c" + ++made);
+                        inCall.add(new String[] {address, "c" + made});
+                    }
+                }
+                case 1 -> {
+                    if (!inCall.isEmpty()) {
+                        String[] call = inCall.remove(random.nextInt(inCall.size()));
+                        generated.keep(call[0], call[1]);
+                    }
+                }
+                case 2 -> {
+                    if (!inCall.isEmpty()) {
+                        generated.discard(inCall.remove(random.nextInt(inCall.size()))[1]);
+                    }
+                }
+                default -> {
+                    if (!open.isEmpty()) {
+                        String any = open.iterator().next();
+                        if (inCall.stream().noneMatch(call -> call[1].equals(any))) {
+                            open.remove(any);
+                            generated.closedByPeer(any);
+                        }
+                    }
+                }
+            }
+            assertThat(generated.open()).isEqualTo(open.size()).isLessThanOrEqualTo(sockets.forWorkers());
+        }
+    }
+}
