Reports of workers are taken in turns, so that the rest goes on during a flood

Reports now get at most two thirds of the time, in turns of 20 ms; one that its worker has given up by then is refused without being read.

The leader is still short of processor time there.

--- a/src/main/java/org/gullway/Controller.java
+++ b/src/main/java/org/gullway/Controller.java
@@ -76,6 +76,7 @@
     private final FleetPlan fleet;
     private final CloudLoop cloud;
     private final UserApi users;
+    private final ReportIntake reports;
     private final Metrics metrics = new Metrics();
     private final Map<String, String> meshAddresses = new HashMap<>();
     private final Draft.Limits limits;
@@ -125,6 +126,7 @@
                 fleet, self, timeOfDay, this::schedule);
         this.users = new UserApi(loop, view, ledger, placing, random.split(), metrics,
                 4 * settings.stateChangesPerCommit(), this::schedule);
+        this.reports = new ReportIntake(loop, this::report);
         this.limits = new Draft.Limits(settings.stateChangesPerCommit(), settings.stateValueBytes());
         settings.peers().forEach(peer -> meshAddresses.put(peer.name(), peer.address()));
         this.logInterval = operator.logInterval();
@@ -177,7 +179,7 @@
                 }
             });
         } else if (path.equals("/agent/beat")) {
-            only("POST", call, () -> report(call));
+            only("POST", call, () -> reports.take(call));
         } else if (path.equals("/v2/runs")) {
             only("POST", call, () -> users.submit(call));
         } else if (path.startsWith("/v2/runs/")) {
