--- a/src/main/java/org/gullway/coordination/FleetPlan.java
+++ b/src/main/java/org/gullway/coordination/FleetPlan.java
@@ -2,10 +2,8 @@
 
 import java.time.Duration;
 import java.time.Instant;
-import java.util.ArrayDeque;
 import java.util.ArrayList;
 import java.util.Comparator;
-import java.util.Deque;
 import java.util.HashMap;
 import java.util.HashSet;
 import java.util.LinkedHashMap;
@@ -29,7 +27,6 @@
     /** Sizing looks at the whole fleet; machines take far longer to come up. */
     private static final Duration PLAN_EVERY = Duration.ofMillis(500);
     private static final int KEPT_MACHINES = 4;
-    private static final Duration EXCESS_STEP = Duration.ofSeconds(2);
     private static final Duration BURST_MEMORY = Duration.ofMinutes(1);
     private static final Duration BURST_HALF_LIFE = Duration.ofSeconds(90);
     private static final Duration NO_CAPACITY_PAUSE = Duration.ofSeconds(10);
@@ -42,9 +39,6 @@
     public record Rental(String type, String zone, boolean spot, int count) {
     }
 
-    private record Excess(Instant from, double least) {
-    }
-
     private record Offering(MachineType type, String zone, boolean spot) {
         double pricePerCpu() {
             return (spot ? type.spotPrice() : type.price()) / type.cpus();
@@ -88,8 +82,9 @@
     private final Set<String> counted = new HashSet<>();
     /** Processors of a large urgent job of late: it may come again at any moment, all at once. */
     private double burst;
-    /** Room beyond the need, the least of each step of the last while. */
-    private final Deque<Excess> excesses = new ArrayDeque<>();
+    private double leastExcess;
+    private double toDrain;
+    private Instant excessSince;
     private Instant burstAt = Instant.MIN;
 
     public FleetPlan(ClusterView view, Placing placing, Policy policy) {
@@ -282,7 +277,7 @@
             spare += machine.takesTasks() ? placing.freeCpus(machine, draft) : 0;
         }
         double wanted = waiting + spareWanted(reservedUse, now);
-        double toDrain = toDrain(spare - wanted, now);
+        noteExcess(spare - wanted, now);
         for (MachineRecord machine : dearestFirst()) {
             MachineType type = placing.types().get(machine.type());
             if (machine.fate() != Fate.STAYS || !draft.canPutMachine(machine.name())) {
@@ -310,23 +305,18 @@
      * Processors that were not needed all through the last while are drained. In a large fleet machines are seldom
      * empty, so those beyond the need take no more tasks and are returned when their last one ends; no work is lost.
      */
-    private double toDrain(double excess, Instant now) {
-        Instant start = now.minus(policy.idleReturn());
-        if (excesses.isEmpty() || excesses.getLast().from().plus(EXCESS_STEP).isBefore(now)) {
-            excesses.addLast(new Excess(now, excess));
-        } else {
-            Excess last = excesses.removeLast();
-            excesses.addLast(new Excess(last.from(), Math.min(last.least(), excess)));
-        }
-        while (excesses.size() > 1 && !excesses.getFirst().from().plus(EXCESS_STEP).isAfter(start)) {
-            excesses.removeFirst();
+    private void noteExcess(double excess, Instant now) {
+        if (excessSince == null) {
+            excessSince = now;
+            leastExcess = excess;
         }
-        if (excesses.getFirst().from().isAfter(start)) {
-            return 0;
+        leastExcess = Math.min(leastExcess, excess);
+        if (!excessSince.plus(policy.idleReturn()).isAfter(now)) {
+            // Room lies in fragments: what a few large machines hold is kept, which matters to small fleets alone.
+            double largest = placing.types().values().stream().mapToDouble(MachineType::cpus).max().orElse(0);
+            toDrain = leastExcess - KEPT_MACHINES * largest;
+            excessSince = null;
         }
-        // Room lies in fragments: what a few large machines hold is kept, which matters to small fleets alone.
-        double largest = placing.types().values().stream().mapToDouble(MachineType::cpus).max().orElse(0);
-        return excesses.stream().mapToDouble(Excess::least).min().orElse(0) - KEPT_MACHINES * largest;
     }
 
     /** Machines of one group together: however many are marked, its record changes once. */
