--- a/src/main/java/org/gullway/coordination/FleetPlan.java
+++ b/src/main/java/org/gullway/coordination/FleetPlan.java
@@ -43,12 +43,6 @@
         double pricePerCpu() {
             return (spot ? type.spotPrice() : type.price()) / type.cpus();
         }
-
-        /** What one of its tasks costs on a machine rented for it, which is also paid while it boots and fetches. */
-        double costFor(JobRequest job) {
-            return pricePerCpu() * (type.boot().toMillis() / 1000.0 + job.imageGb() / Math.max(1e-3, type.fetchGbPerSecond())
-                    + job.estimate().toMillis() / 1000.0);
-        }
     }
 
     /** Free room of a machine that is there, coming, or to be rented. */
@@ -249,15 +243,15 @@
         if (laid > 0) {
             slots.removeIf(slot -> slot.cpus <= 1e-6);
         }
-        if (laid < tasks) {
-            Optional<Offering> best = offerings.stream().filter(offering -> suits(offering, job))
-                    .min(Comparator.comparingDouble(offering -> offering.costFor(job)));
-            while (best.isPresent() && laid < tasks) {
-                Slot slot = empty(best.get());
-                while (laid < tasks && slot.take(job)) {
-                    laid++;
+        for (Offering offering : offerings) {
+            if (laid < tasks && suits(offering, job)) {
+                while (laid < tasks) {
+                    Slot slot = empty(offering);
+                    while (laid < tasks && slot.take(job)) {
+                        laid++;
+                    }
+                    rented.add(slot);
                 }
-                rented.add(slot);
             }
         }
         return laid;
