--- a/src/main/java/org/gullway/bookkeeping/Ledger.java
+++ b/src/main/java/org/gullway/bookkeeping/Ledger.java
@@ -241,7 +241,13 @@
         store.get(memberKey(), outcome -> {
             if (outcome.is(200) && outcome.body().hasNonNull("tether")) {
                 // Only this node writes this key, so an earlier process or membership of its own left it there.
-                store.end(outcome.body().path("tether").asLong(), ended -> rejoinSoon());
+                store.end(outcome.body().path("tether").asLong(), ended -> {
+                    if (ended.kind() == Reply.Kind.ANSWERED && ended.status() == 200) {
+                        tryToJoin();
+                    } else {
+                        rejoinSoon();
+                    }
+                });
             } else if (outcome.kind() == Reply.Kind.ANSWERED && outcome.status() == 404) {
                 enter();
             } else {
