--- a/src/test/java/org/gullway/SimulatedWorld.java
+++ b/src/test/java/org/gullway/SimulatedWorld.java
@@ -376,7 +376,7 @@
 
     void submit(int number, String team, Rank rank, int tasks, double cpus, Duration runTime) {
         String id = String.format("run-%06d", number);
-        JobRequest request = new JobRequest(id, "render", team, JobRequest.Shape.ARRAY, rank, tasks, cpus, 0, cpus,
+        JobRequest request = new JobRequest(id, cpus >= 16 ? "survey" : "render", team, JobRequest.Shape.ARRAY, rank, tasks, cpus, 0, cpus,
                 "img-" + number % 3, 0.5, null, null, false, false, number % 4 != 0, runTime, Duration.ZERO,
                 Duration.ZERO, null);
         User user = new User(request, runTime);
--- a/src/test/java/org/gullway/TroublesTest.java
+++ b/src/test/java/org/gullway/TroublesTest.java
@@ -136,10 +136,11 @@
         List<SimulatedWorld.User> large = world.users().stream().filter(u -> u.request.cpus() == 16).toList();
         assertThat(large).hasSize(6).allSatisfy(user ->
                 assertThat(user.waited()).isNotNull().isLessThan(Duration.ofMinutes(4)));
-        for (String team : List.of("red", "blue")) {
-            long all = world.users().stream().filter(u -> u.request.team().equals(team)).count();
-            long over = world.users().stream().filter(u -> u.request.team().equals(team) && u.over()).count();
-            assertThat(2 * over).as("served of team %s", team).isGreaterThanOrEqualTo(all);
+        for (String group : List.of("red", "blue", "render", "survey")) {
+            List<SimulatedWorld.User> all = world.users().stream().filter(u ->
+                    u.request.team().equals(group) || u.request.jobClass().equals(group)).toList();
+            assertThat(2 * all.stream().filter(SimulatedWorld.User::over).count()).as("served of %s", group)
+                    .isGreaterThanOrEqualTo(all.size()).isPositive();
         }
         assertThat(large.stream().filter(SimulatedWorld.User::over).count()).isGreaterThanOrEqualTo(3);
     }
