--- a/src/test/java/org/gullway/standin/SimulatedTime.java
+++ b/src/test/java/org/gullway/standin/SimulatedTime.java
@@ -64,9 +64,14 @@
     public void runUntil(Instant end) {
         while (!queue.isEmpty() && !queue.peek().at().isAfter(end)) {
             Due due = queue.poll();
-            now = due.at();
+            now = due.at().isAfter(now) ? due.at() : now;
             due.task().run();
         }
-        now = end;
+        now = end.isAfter(now) ? end : now;
+    }
+
+    /** The present task takes so long; what is due meanwhile runs after it. */
+    public void spend(Duration span) {
+        now = now.plus(span);
     }
 }
