--- a/src/main/java/org/gullway/Daemon.java
+++ b/src/main/java/org/gullway/Daemon.java
@@ -3,6 +3,7 @@
 import io.undertow.connector.ByteBufferPool;
 import io.undertow.server.DefaultByteBufferPool;
 import java.io.IOException;
+import java.io.UncheckedIOException;
 import java.time.InstantSource;
 import java.util.HashSet;
 import java.util.List;
@@ -29,15 +30,8 @@
     private Daemon() {
     }
 
-    static void start(Settings settings, OperatorSettings operator) throws IOException {
-        XnioWorker worker = Xnio.getInstance().createWorker(OptionMap.builder()
-                .set(Options.WORKER_NAME, "gullway")
-                .set(Options.WORKER_IO_THREADS, 1)
-                .set(Options.WORKER_TASK_CORE_THREADS, 1)
-                .set(Options.WORKER_TASK_MAX_THREADS, 1)
-                .set(Options.TCP_NODELAY, true)
-                .set(Options.REUSE_ADDRESSES, true)
-                .getMap());
+    static void start(Settings settings, OperatorSettings operator) {
+        XnioWorker worker = worker();
         ByteBufferPool buffers = new DefaultByteBufferPool(false, BUFFER, 256, 4);
         XnioEventLoop loop = new XnioEventLoop(worker.getIoThread());
         long seed = System.nanoTime() ^ System.currentTimeMillis() << 20 ^ settings.nodeName().hashCode();
@@ -59,4 +53,19 @@
             }
         })));
     }
+
+    private static XnioWorker worker() {
+        try {
+            return Xnio.getInstance().createWorker(OptionMap.builder()
+                    .set(Options.WORKER_NAME, "gullway")
+                    .set(Options.WORKER_IO_THREADS, 1)
+                    .set(Options.WORKER_TASK_CORE_THREADS, 1)
+                    .set(Options.WORKER_TASK_MAX_THREADS, 1)
+                    .set(Options.TCP_NODELAY, true)
+                    .set(Options.REUSE_ADDRESSES, true)
+                    .getMap());
+        } catch (IOException e) {
+            throw new UncheckedIOException("cannot start the event loop", e);
+        }
+    }
 }
--- a/src/main/java/org/gullway/Main.java
+++ b/src/main/java/org/gullway/Main.java
@@ -1,6 +1,5 @@
 package org.gullway;
 
-import java.io.IOException;
 import java.nio.file.Path;
 import java.util.Map;
 import java.util.concurrent.Callable;
@@ -26,6 +25,9 @@
     @Option(names = "--check", description = "check the settings and exit")
     private boolean checkOnly;
 
+    /** Starts the service, if that is what was asked for; null otherwise. */
+    private Runnable toStart;
+
     /** The version from the jar's manifest. */
     static final class Version implements CommandLine.IVersionProvider {
         @Override
@@ -37,10 +39,21 @@
 
     public static void main(String[] args) {
         configureLogging(System.getenv());
-        int code = new CommandLine(new Main()).execute(args);
+        Main main = new Main();
+        int code = new CommandLine(main).execute(args);
         if (code != 0) {
             System.exit(code);
         }
+        if (main.toStart != null) {
+            // Only now, and as the last thing: while this thread went on to load classes for the command line, the
+            // event loop's first reads of sockets ended the Java machine now and then (docs/incidents/java-fault.md).
+            try {
+                main.toStart.run();
+            } catch (RuntimeException e) {
+                System.err.println("gullway: cannot start: " + e.getMessage());
+                System.exit(1);
+            }
+        }
     }
 
     private static void configureLogging(Map<String, String> environment) {
@@ -53,9 +66,9 @@
     }
 
     @Override
-    public Integer call() throws IOException {
-        Settings settings;
-        OperatorSettings operator;
+    public Integer call() {
+        final Settings settings;
+        final OperatorSettings operator;
         try {
             settings = Settings.read(config);
             operator = operatorSettings == null ? OperatorSettings.DEFAULTS : OperatorSettings.read(operatorSettings);
@@ -64,7 +77,7 @@
             return FAULTY_SETTINGS;
         }
         if (!checkOnly) {
-            Daemon.start(settings, operator);
+            toStart = () -> Daemon.start(settings, operator);
         }
         return 0;
     }
