Leases are renewed only as long as the knowledge of cancellations allows

Cause: a controller that was refused by the state service answered workers for up to the cancel limit after it had last been entitled, and refused only machines with tasks that it knew as cancelled.

Change: nobody, entitled or not, answers a report with 200 later than the sending of the last watch or reading that was answered, plus the cancel limit less the lease, less drift. A cancellation not known here was confirmed after that sending, so the worker's own lease ends its tasks in time, whoever crashes. Known ones: every answer that renews a lease carries the stops; without entitlement stops also go directly, and what answers none is returned to the cloud in the last quarter of the limit. That limit runs from the cancellation, which the record now holds as a time of day, and no longer from the beginning of listening. Watches are shorter (2 s at most), so that the knowledge is fresh.

--- a/src/main/java/org/gullway/CloudLoop.java
+++ b/src/main/java/org/gullway/CloudLoop.java
@@ -185,6 +185,22 @@
                 names.add(name);
             }
         }
+        giveBack(names);
+    }
+
+    /**
+     * Returns machines although nothing can be recorded, as the last way to end cancelled tasks in time. A leader that
+     * finds them in its records later takes them out; to any other controller they are silent machines.
+     */
+    void giveBackWithoutRecord(Set<String> machines) {
+        Set<String> names = new LinkedHashSet<>(machines);
+        names.removeAll(gone.keySet());
+        if (!returning) {
+            giveBack(names);
+        }
+    }
+
+    private void giveBack(Set<String> names) {
         if (names.isEmpty() || !spend()) {
             return;
         }
--- a/src/main/java/org/gullway/Controller.java
+++ b/src/main/java/org/gullway/Controller.java
@@ -8,9 +8,11 @@
 import java.util.List;
 import java.util.Map;
 import java.util.SplittableRandom;
+import java.util.function.Consumer;
 import org.gullway.bookkeeping.Ledger;
 import org.gullway.bookkeeping.StateStore;
 import org.gullway.coordination.BestEffortQueue;
+import org.gullway.coordination.CancelledTasks;
 import org.gullway.coordination.ClusterView;
 import org.gullway.coordination.DecisionSteps;
 import org.gullway.coordination.Draft;
@@ -56,6 +58,7 @@
     private static final Duration LEAST_PAUSE = Duration.ofMillis(10);
     private static final Duration LONGEST_PAUSE = Duration.ofMillis(300);
     private static final Duration ROUND_BUDGET = Duration.ofMillis(150);
+    private static final Duration LONGEST_WATCH = Duration.ofSeconds(2);
     private static final Duration WAIT_FOR_OTHERS = Duration.ofMillis(2500);
 
     private final EventLoop loop;
@@ -68,6 +71,7 @@
     private final JobPauses pauses = new JobPauses();
     private final EndedAttempts ended;
     private final MachineControl machines;
+    private final CancelledTasks cancelled;
     private final LeaseKeeper leases;
     private final Shares shares;
     private final ReservedBooking booking;
@@ -87,7 +91,7 @@
     private Runnable open;
     private Instant readySince;
     private boolean scheduled;
-    private Instant entitledAt = Instant.MIN;
+    private boolean wasEntitled;
     private Instant notBefore = Instant.MIN;
 
     /**
@@ -105,14 +109,16 @@
         Membership membership = new Membership(self, operator.membershipLease());
         this.ledger = new Ledger(loop, new StateStore(http, settings.stateAddress()), view, membership,
                 new Ledger.Pace(settings.stateChangesPerSecond(), settings.stateRequestsPerSecond(),
-                        settings.peers().size() + 1), this::schedule);
+                        settings.peers().size() + 1), watchWait(settings), this::schedule);
         this.placing = new Placing(settings.teams());
         Duration report = settings.reportInterval();
         this.ended = new EndedAttempts(view);
+        this.cancelled = new CancelledTasks(view, settings.cancelLimit());
         Map<String, String> zones = new HashMap<>();
         settings.peers().forEach(peer -> zones.put(peer.name(), peer.zone()));
-        this.machines = new MachineControl(view, self, report, new Neighbours(zones, settings.cancelLimit()), ended);
-        this.leases = new LeaseKeeper(view, self, settings.cancelLimit());
+        this.machines = new MachineControl(view, self, report, new Neighbours(zones, settings.cancelLimit()), ended,
+                cancelled);
+        this.leases = new LeaseKeeper(view, self, cancelled, settings.cancelLimit(), settings.workerLease());
         Urgency urgency = new Urgency(settings.objectives());
         this.booking = new ReservedBooking(view, placing, pauses, urgency);
         this.queue = new BestEffortQueue(view, placing, pauses, urgency, self.node(), report, random.split());
@@ -133,6 +139,12 @@
         addSteps();
     }
 
+    /** Short beside the time for which leases are renewed by what a watch has brought. */
+    private static Duration watchWait(Settings settings) {
+        Duration part = settings.cancelLimit().minus(settings.workerLease()).dividedBy(8);
+        return part.compareTo(LONGEST_WATCH) > 0 ? LONGEST_WATCH : part.compareTo(TICK) < 0 ? TICK : part;
+    }
+
     private void addSteps() {
         steps.add("requests", () -> users.propose(draft, draft.timeOfDay()))
                 .add("machines", () -> machines.propose(draft, loop.now()))
@@ -204,7 +216,7 @@
 
     private void report(Call call) {
         boolean entitled = ledger.entitled();
-        if (!entitled && !leases.active(entitledAt, loop.now())) {
+        if (!leases.mayRenew(ledger.knownUntil(), loop.now()) || !entitled && !wasEntitled) {
             // Before the body is read: after a restart all workers ask again every second, and reading comes first.
             call.refuse(503, Duration.ofSeconds(1));
             return;
@@ -222,7 +234,7 @@
         }
         if (!entitled) {
             if (leases.keeps(report, loop.now())) {
-                call.answer(200, Command.response(view.epoch(), List.of()));
+                call.answer(200, Command.response(view.epoch(), cancelled.stops(report)));
             } else {
                 call.refuse(503, Duration.ofSeconds(1));
             }
@@ -295,10 +307,14 @@
         users.settle();
         machines.entitled(ledger.entitled(), began);
         if (!ledger.entitled()) {
+            if (wasEntitled) {
+                pressCancelled(began);
+            }
             return;
         }
-        entitledAt = began;
+        wasEntitled = true;
         leases.forget();
+        cancelled.forget();
         openWithOthers(began);
         machines.pushes(began).forEach(this::send);
         machines.drainNotices().forEach(this::send);
@@ -355,7 +371,19 @@
         });
     }
 
+    /** Stopping is safe without the state service, and a cancelled job's limit does not wait for it. */
+    private void pressCancelled(Instant now) {
+        cancelled.press(now).forEach(push -> command(push, outcome -> cancelled.pressed(push, loop.now()),
+                cancelled::answered));
+        cloud.giveBackWithoutRecord(cancelled.machinesToReturn(timeOfDay.instant()));
+    }
+
     private void send(MachineControl.Push push) {
+        command(push, outcome -> machines.pushEnded(push, outcome, loop.now()),
+                answer -> machines.answered(answer, loop.now()));
+    }
+
+    private void command(MachineControl.Push push, Consumer<MachineControl.Outcome> ended, Consumer<WorkerReport> answers) {
         metrics.pushed();
         byte[] body = Command.direct(push.token(), push.session(), push.commands());
         http.call(push.address(), Reply.Request.post("/do", body, COMMAND_LIMIT), reply -> {
@@ -365,10 +393,10 @@
                 case NOT_SENT -> MachineControl.Outcome.NOT_SENT;
                 default -> MachineControl.Outcome.UNKNOWN;
             };
-            machines.pushEnded(push, outcome, loop.now());
+            ended.accept(outcome);
             if (answered) {
                 try {
-                    machines.answered(WorkerReport.parse(Cbor.decode(reply.body())), loop.now());
+                    answers.accept(WorkerReport.parse(Cbor.decode(reply.body())));
                 } catch (MalformedException e) {
                     LOG.info("the answer of {} cannot be read: {}", push.machine(), e.getMessage());
                 }
--- a/src/main/java/org/gullway/UserApi.java
+++ b/src/main/java/org/gullway/UserApi.java
@@ -174,7 +174,7 @@
         for (Cancellation cancellation : cancellations.values()) {
             JobRecord job = draft.job(cancellation.id());
             if (job != null && !job.cancelled() && draft.hasRoomFor(2)) {
-                draft.putJob(job.cancel());
+                draft.putJob(job.cancel(timeOfDay));
             }
         }
         List<String> members = new ArrayList<>(view.members().keySet());
@@ -375,7 +375,7 @@
             return ((JobRecord) RecordCodec.decode(Keys.job(id), value)).status();
         } catch (MalformedException e) {
             LOG.error("the record of {} is not of our form: {}", id, e.getMessage());
-            return new JobStatus(id, value.path("cancelled").asBoolean() ? JobState.CANCELLED : JobState.PENDING, 0, 0);
+            return new JobStatus(id, value.hasNonNull("cancelled") ? JobState.CANCELLED : JobState.PENDING, 0, 0);
         }
     }
 
--- a/src/main/java/org/gullway/bookkeeping/Ledger.java
+++ b/src/main/java/org/gullway/bookkeeping/Ledger.java
@@ -28,7 +28,9 @@
  */
 public final class Ledger {
     private static final Logger LOG = LoggerFactory.getLogger(Ledger.class);
-    private static final Duration WATCH_WAIT = Duration.ofSeconds(5);
+    /** How old the view may be for this controller to act on it. */
+    private static final Duration FRESH = Duration.ofSeconds(10);
+    private static final Duration LONGEST_AWAITED = Duration.ofSeconds(5);
     private static final Duration RETRY = Duration.ofMillis(250);
     private static final Duration BUSY_MEMORY = Duration.ofSeconds(10);
     private static final Duration BUSY_RETRY = Duration.ofMillis(120);
@@ -71,6 +73,9 @@
     private Phase phase = Phase.OUTSIDE;
     private boolean synced;
     private Instant lastWatched = Instant.MIN;
+    /** When the last reading or watch that was answered had been sent. */
+    private Instant knownUntil = Instant.MIN;
+    private final Duration watchWait;
     private boolean committing;
     private Instant commitNotBefore = Instant.MIN;
     /** Revision that the watch has to reach before the view is good enough for another commit. */
@@ -83,13 +88,14 @@
     private int renewals;
 
     public Ledger(EventLoop loop, StateStore store, ClusterView view, Membership membership,
-                  Pace pace, Runnable changed) {
+                  Pace pace, Duration watchWait, Runnable changed) {
         this.loop = loop;
         this.store = store;
         this.view = view;
         this.membership = membership;
         this.changed = changed;
         this.pace = pace;
+        this.watchWait = watchWait;
         this.changes = new Budget(loop, pace.changesPerSecond());
         double requests = pace.requestsPerSecond() / pace.controllers();
         this.watches = new Budget(loop, requests, Pace.WATCHES_PART);
@@ -114,7 +120,15 @@
 
     /** Whether the view follows the store without a gap. */
     public boolean fresh() {
-        return synced && loop.now().isBefore(lastWatched.plus(WATCH_WAIT.multipliedBy(2)));
+        return synced && loop.now().isBefore(lastWatched.plus(FRESH));
+    }
+
+    /**
+     * The moment up to which all commits of all controllers are surely known here: when the last watch or reading that
+     * was answered had been sent. An answer may be held back for long, and an open watch just waits in an outage.
+     */
+    public Instant knownUntil() {
+        return knownUntil;
     }
 
     // Reading and watching
@@ -122,10 +136,10 @@
     private void readAll() {
         synced = false;
         long run = ++watchRun;
-        readPage(run, null, 0, new HashMap<>());
+        readPage(run, loop.now(), null, 0, new HashMap<>());
     }
 
-    private void readPage(long run, String from, long firstRevision, Map<String, JsonNode> items) {
+    private void readPage(long run, Instant asked, String from, long firstRevision, Map<String, JsonNode> items) {
         store.list(Keys.LIVE, from, outcome -> {
             if (run != watchRun) {
                 return;
@@ -145,7 +159,7 @@
             }
             long revision = firstRevision == 0 ? outcome.revision() : firstRevision;
             if (outcome.body().path("more").asBoolean() && last != null) {
-                readPage(run, last, revision, items);
+                readPage(run, asked, last, revision, items);
                 return;
             }
             view.clear();
@@ -153,6 +167,7 @@
             view.readAt(revision);
             synced = true;
             lastWatched = loop.now();
+            knownUntil = asked;
             LOG.info("read {} keys at revision {}", items.size(), revision);
             changed.run();
             watch(run, revision);
@@ -172,7 +187,7 @@
 
     private void watch(long run, long from) {
         Instant asked = loop.now();
-        store.watch(Keys.LIVE, from, WATCH_WAIT, outcome -> {
+        store.watch(Keys.LIVE, from, watchWait, outcome -> {
             if (run != watchRun) {
                 return;
             }
@@ -201,6 +216,7 @@
             long to = Math.max(from, outcome.revision());
             view.watchedTo(to);
             lastWatched = loop.now();
+            knownUntil = asked;
             if (any || awaited > 0) {
                 changed.run();
             }
@@ -337,7 +353,7 @@
             return false;
         }
         if (view.watched() < awaited) {
-            if (awaitedSince.plus(WATCH_WAIT).isBefore(loop.now())) {
+            if (awaitedSince.plus(LONGEST_AWAITED).isBefore(loop.now())) {
                 LOG.info("the watch does not bring revision {}; reading anew", awaited);
                 awaited = 0;
                 readAll();
--- a/src/main/java/org/gullway/bookkeeping/RecordCodec.java
+++ b/src/main/java/org/gullway/bookkeeping/RecordCodec.java
@@ -73,7 +73,10 @@
         if (job.owner() != null) {
             node.put("owner", job.owner());
         }
-        node.put("submitted", job.submitted().toEpochMilli()).put("cancelled", job.cancelled())
+        if (job.cancelled()) {
+            node.put("cancelled", job.cancelledAt().toEpochMilli());
+        }
+        node.put("submitted", job.submitted().toEpochMilli())
                 .put("attempts", job.attempts()).put("errors", job.errors());
         ArrayNode done = node.putArray("done");
         for (int bound : job.done().bounds()) {
@@ -173,7 +176,7 @@
             throw new MalformedException("done: " + e.getMessage());
         }
         return new JobRecord(JobRequest.parse(value.path("request")), fields.textOrNull("owner"),
-                submitted, fields.flag("cancelled"), ranges,
+                submitted, fields.has("cancelled") ? Instant.ofEpochMilli(fields.count("cancelled")) : null, ranges,
                 fields.count("attempts"), fields.countUpTo("errors", Integer.MAX_VALUE), List.copyOf(live));
     }
 
--- a/src/main/java/org/gullway/coordination/BestEffortQueue.java
+++ b/src/main/java/org/gullway/coordination/BestEffortQueue.java
@@ -73,7 +73,7 @@
                 taken = placing.take(job, 1, List.of(last), draft, view);
             }
             if (taken.isEmpty()) {
-                taken = placing.take(job, 1, room, draft, view);
+                taken = placing.take(job, planned, 1, room, draft, view);
             }
             if (taken.isEmpty()) {
                 return false;
--- a/src/main/java/org/gullway/coordination/ClusterView.java
+++ b/src/main/java/org/gullway/coordination/ClusterView.java
@@ -1,6 +1,7 @@
 package org.gullway.coordination;
 
 import java.util.Collection;
+import java.util.Collections;
 import java.util.HashMap;
 import java.util.HashSet;
 import java.util.LinkedHashMap;
@@ -42,6 +43,7 @@
     }
 
     private static final Room UNUSED = new Room();
+    private static final int MOST_CANCELLED_REMEMBERED = 10_000;
 
     private final Map<String, Long> marks = new HashMap<>();
     private final Map<String, JobRecord> jobs = new TreeMap<>();
@@ -60,6 +62,13 @@
     private final Map<String, Set<String>> images = new HashMap<>();
     /** Removals that the watch has not reached yet, so that an earlier put it still brings does not undo them. */
     private final Map<String, Long> removed = new HashMap<>();
+    /** Jobs known to be cancelled, which they stay: also those whose records have ended or are being read anew. */
+    private final Set<String> cancelled = Collections.newSetFromMap(new LinkedHashMap<>() {
+        @Override
+        protected boolean removeEldestEntry(Map.Entry<String, Boolean> eldest) {
+            return size() > MOST_CANCELLED_REMEMBERED;
+        }
+    });
     private long watched;
     /** Revision of the last loss of a member, as far as known. */
     private long lossSeen;
@@ -187,6 +196,9 @@
         }
         if (next != null) {
             count(next, kept, 1);
+            if (next.cancelled()) {
+                cancelled.add(id);
+            }
         }
     }
 
@@ -244,6 +256,11 @@
         return jobs.get(id);
     }
 
+    /** Whether the job is known to be cancelled, even if its record has ended since. */
+    public boolean isCancelled(String job) {
+        return cancelled.contains(job);
+    }
+
     public Collection<MachineRecord> machines() {
         return machines.values();
     }
--- a/src/main/java/org/gullway/coordination/JobRecord.java
+++ b/src/main/java/org/gullway/coordination/JobRecord.java
@@ -20,10 +20,11 @@
  *
  * @param owner controller whose queue holds the job; null for reserved-class jobs, which are the leader's
  * @param submitted time of day of the acceptance
+ * @param cancelledAt time of day before the cancellation was confirmed to anybody; null if the job is not cancelled
  * @param attempts number of attempts that were placed so far, which numbers the next one
  * @param errors attempts that failed since the last one that did not
  */
-public record JobRecord(JobRequest request, String owner, Instant submitted, boolean cancelled, Ranges done,
+public record JobRecord(JobRequest request, String owner, Instant submitted, Instant cancelledAt, Ranges done,
                         long attempts, int errors, List<Placement> live) {
 
     /** Generous size of one placement in the record, counted as the state store counts. */
@@ -54,7 +55,7 @@
     }
 
     public static JobRecord accepted(JobRequest request, String owner, Instant submitted) {
-        return new JobRecord(request, owner, submitted, false, Ranges.EMPTY, 0, 0, List.of());
+        return new JobRecord(request, owner, submitted, null, Ranges.EMPTY, 0, 0, List.of());
     }
 
     public boolean reserved() {
@@ -66,12 +67,16 @@
         return FIXED_BYTES + live.size() * PLACEMENT_BYTES + done.count() * RANGE_BYTES;
     }
 
+    public boolean cancelled() {
+        return cancelledAt != null;
+    }
+
     public boolean over() {
-        return cancelled ? live.isEmpty() : done.size() == request.tasks();
+        return cancelled() ? live.isEmpty() : done.size() == request.tasks();
     }
 
     public JobState state() {
-        if (cancelled) {
+        if (cancelled()) {
             return JobState.CANCELLED;
         }
         if (done.size() == request.tasks()) {
@@ -92,11 +97,11 @@
 
     /** Tasks that are neither done nor placed. */
     public int waiting() {
-        return cancelled ? 0 : Math.max(0, request.tasks() - done.size() - live.size());
+        return cancelled() ? 0 : Math.max(0, request.tasks() - done.size() - live.size());
     }
 
     public int unfinished() {
-        return cancelled ? live.size() : request.tasks() - done.size();
+        return cancelled() ? live.size() : request.tasks() - done.size();
     }
 
     public Placement placementOf(int task, long attempt) {
@@ -133,7 +138,7 @@
             attempt = gang() && attempt > attempts ? attempt : attempt + 1;
             next.add(new Placement(task, attempt, machine.name(), machine.session(), false, timeOfDay));
         }
-        return new JobRecord(request, owner, submitted, cancelled, done, attempt, errors, List.copyOf(next));
+        return new JobRecord(request, owner, submitted, cancelledAt, done, attempt, errors, List.copyOf(next));
     }
 
     /** How many more attempts the record has room for. */
@@ -157,20 +162,21 @@
                 nextErrors++;
             }
         }
-        return new JobRecord(request, owner, submitted, cancelled, nextDone, attempts, nextErrors, List.copyOf(left));
+        return new JobRecord(request, owner, submitted, cancelledAt, nextDone, attempts, nextErrors, List.copyOf(left));
     }
 
     public JobRecord stopping(Predicate<Placement> which) {
         UnaryOperator<Placement> stop = p -> which.test(p) ? p.stopped() : p;
-        return new JobRecord(request, owner, submitted, cancelled, done, attempts, errors,
+        return new JobRecord(request, owner, submitted, cancelledAt, done, attempts, errors,
                 live.stream().map(stop).toList());
     }
 
-    public JobRecord cancel() {
-        return new JobRecord(request, owner, submitted, true, done, attempts, errors, live);
+    /** The first cancellation counts: from it on the limit runs for the job's tasks to be gone. */
+    public JobRecord cancel(Instant timeOfDay) {
+        return cancelled() ? this : new JobRecord(request, owner, submitted, timeOfDay, done, attempts, errors, live);
     }
 
     public JobRecord ownedBy(String controller) {
-        return new JobRecord(request, controller, submitted, cancelled, done, attempts, errors, live);
+        return new JobRecord(request, controller, submitted, cancelledAt, done, attempts, errors, live);
     }
 }
--- a/src/main/java/org/gullway/coordination/LeaseKeeper.java
+++ b/src/main/java/org/gullway/coordination/LeaseKeeper.java
@@ -7,39 +7,55 @@
 import org.gullway.protocol.WorkerReport;
 
 /**
- * Keeps workers' leases while this controller has lost the state service: in a zone that is cut off, or while the
- * service is down for all, the tasks there go on instead of ending with the lease.
+ * Decides whose lease may be renewed, which an answer with 200 to a report does.
  *
- * <p>It gives no commands, and only workers that seem to reach no other controller are kept: those that come back
- * after they were refused here, and those that another controller commands. What a worker says of a higher epoch shows
- * that it has another commander by now; then it is refused. A task moves elsewhere only once its end is certain,
- * whoever keeps its lease, and machines with cancelled tasks are returned by the others before their limit; so it
- * ends at all only when the others give up the machines of a zone that is cut off.
+ * <p><b>No longer than the knowledge of cancellations allows.</b> A cancellation that is not known here was confirmed
+ * after the moment up to which all commits are known here. So no controller, entitled or not, renews a lease later than
+ * that moment plus the cancel limit less the lease: the worker itself then ends every such task within the limit,
+ * whoever crashes and whatever messages are lost. On the operators' day "gap" the state service refused a leader alone,
+ * others confirmed cancellations, and the leader kept the leases for the whole cancel limit.
+ *
+ * <p><b>Without entitlement</b> (in a zone that is cut off, or while the state service is down for all) leases are
+ * kept under the same bound, so that the tasks there go on. No task is started then, and only workers that seem to
+ * reach no other controller are kept: those that come back after they were refused here, and those that another
+ * controller commands. What a worker says of a higher epoch shows that it has another commander by now; then it is
+ * refused. So is a machine on which the start of a cancelled task may still be on its way; cancelled tasks that the
+ * report lists are stopped with the very answer that renews the lease.
  */
 public final class LeaseKeeper {
     private static final Duration REFUSAL_MEMORY = Duration.ofSeconds(25);
+    /** Steady clocks drift apart by 0.05%: for the controller's and the worker's together, and for the timers' steps. */
+    private static final long DRIFT_DIVISOR = 500;
+    private static final Duration SLACK = Duration.ofMillis(250);
 
     private final ClusterView view;
     private final Incarnation self;
-    private final Duration longest;
+    private final CancelledTasks cancelled;
+    private final Duration renewedFor;
     private final Map<String, Instant> refused = new HashMap<>();
 
-    public LeaseKeeper(ClusterView view, Incarnation self, Duration cancelLimit) {
+    public LeaseKeeper(ClusterView view, Incarnation self, CancelledTasks cancelled, Duration cancelLimit,
+                       Duration workerLease) {
         this.view = view;
         this.self = self;
-        this.longest = cancelLimit;
+        this.cancelled = cancelled;
+        this.renewedFor = cancelLimit.minus(cancelLimit.dividedBy(DRIFT_DIVISOR)).minus(workerLease).minus(SLACK);
     }
 
-    /** Whether leases may be kept at all, so long after this controller was last entitled to act. */
-    public boolean active(Instant entitledAt, Instant now) {
-        return entitledAt.isAfter(Instant.MIN) && now.isBefore(entitledAt.plus(longest));
+    /**
+     * Whether any lease may be renewed now.
+     *
+     * @param knownUntil the moment up to which all commits are surely known here
+     */
+    public boolean mayRenew(Instant knownUntil, Instant now) {
+        return now.isBefore(knownUntil.plus(renewedFor));
     }
 
-    /** Whether this worker's report is answered, with the epoch known here and without commands. */
+    /** Whether this worker's report is answered although this controller is not entitled, if leases may be renewed. */
     public boolean keeps(WorkerReport report, Instant now) {
         MachineRecord machine = view.machine(report.machine());
         if (machine == null || machine.session() != report.session() || machine.fate() == MachineRecord.Fate.LOST
-                || report.token() > view.epoch() || holdsCancelled(machine)) {
+                || report.token() > view.epoch() || cancelled.mayBegin(machine, report)) {
             return false;
         }
         Instant before = refused.put(report.machine(), now);
@@ -47,12 +63,6 @@
                 || before != null && before.plus(REFUSAL_MEMORY).isAfter(now);
     }
 
-    /** With its lease such a task ends in time, whether or not anybody can stop it. */
-    private boolean holdsCancelled(MachineRecord machine) {
-        return view.placementsOn(machine.name()).keySet().stream()
-                .anyMatch(id -> view.job(id.task().job()).cancelled());
-    }
-
     /** To be told when this controller is entitled again. */
     public void forget() {
         refused.clear();
--- a/src/main/java/org/gullway/coordination/MachineControl.java
+++ b/src/main/java/org/gullway/coordination/MachineControl.java
@@ -18,6 +18,8 @@
 import org.gullway.protocol.JobRequest;
 import org.gullway.protocol.TaskReport;
 import org.gullway.protocol.WorkerReport;
+import org.slf4j.Logger;
+import org.slf4j.LoggerFactory;
 
 /**
  * The machines that this controller commands. Recorded placements are what is wanted; the worker's newest message is
@@ -27,6 +29,7 @@
  * its decoding.
  */
 public final class MachineControl {
+    private static final Logger LOG = LoggerFactory.getLogger(MachineControl.class);
     private static final Duration RETRY = Duration.ofMillis(500);
     private static final Duration TELL_AGAIN = Duration.ofMillis(1500);
     /** After that the end is recorded here: the keeper may be out of reach, or change again and again. */
@@ -45,6 +48,7 @@
     private final Incarnation self;
     private final Duration reportInterval;
     private final EndedAttempts ended;
+    private final CancelledTasks cancelled;
     private final Map<String, Worker> workers = new LinkedHashMap<>();
     private final SilentMachines silent;
     /** Machines here whose session on record may be behind. */
@@ -56,11 +60,12 @@
     private Instant raisedAt = Instant.MIN;
 
     public MachineControl(ClusterView view, Incarnation self, Duration reportInterval, Neighbours neighbours,
-                          EndedAttempts ended) {
+                          EndedAttempts ended, CancelledTasks cancelled) {
         this.view = view;
         this.self = self;
         this.reportInterval = reportInterval;
         this.ended = ended;
+        this.cancelled = cancelled;
         this.silent = new SilentMachines(view, self, reportInterval, neighbours, workers);
     }
 
@@ -98,14 +103,14 @@
         MachineRecord record = view.machine(report.machine());
         if (record == null) {
             // It comes on record by the cloud's answer or list, never by a report alone: that may be an old copy.
-            return new Answer.Commands(view.epoch(), List.of(), false);
+            return new Answer.Commands(view.epoch(), cancelled.stops(report), false);
         }
         if (!self.equals(record.controller())) {
             String better = view.isLive(record.controller()) ? record.controller().node()
                     : successor(view.group(view.groupOf(record.name())));
             if (!self.node().equals(better)) {
                 // While its group is being taken over, an answer keeps its lease; the way back there would only fail.
-                return stray(record, now) ? new Answer.Commands(view.epoch(), List.of(), true)
+                return stray(record, now) ? new Answer.Commands(view.epoch(), cancelled.stops(report), true)
                         : new Answer.Elsewhere(better);
             }
         }
@@ -116,7 +121,9 @@
             changed = true;
         }
         known.strayed(null);
-        return new Answer.Commands(view.epoch(), forgets(known, record), changed);
+        List<Command> commands = new ArrayList<>(cancelled.stops(report));
+        commands.addAll(forgets(known, record));
+        return new Answer.Commands(view.epoch(), commands, changed);
     }
 
     /** Whether a worker that was sent on is back because it cannot reach its controller, and may stay for one report. */
@@ -386,6 +393,37 @@
             draft.raiseEpoch();
         }
         silent.propose(draft, now);
+        giveUpOverdue(draft);
+    }
+
+    /**
+     * A cancelled job's limit runs from its cancellation, whoever has led or commanded since and however often
+     * listening began anew: before it is over, machines on which its tasks may still be are given up.
+     */
+    private void giveUpOverdue(Draft draft) {
+        for (JobRecord job : view.jobs()) {
+            if (!cancelled.overdue(job, draft.timeOfDay())) {
+                continue;
+            }
+            for (Placement placement : job.live()) {
+                MachineRecord record = draft.machine(placement.machine());
+                if (record != null && self.equals(record.controller()) && record.session() == placement.session()
+                        && record.fate() != Fate.LOST && draft.canPutMachine(record.name())
+                        && !seenGone(record, AttemptId.of(job, placement))) {
+                    LOG.info("gives up {}, a task of {} should have been gone", record.name(), job.request().id());
+                    draft.putMachine(record.meant(Fate.LOST));
+                }
+            }
+        }
+    }
+
+    private boolean seenGone(MachineRecord record, AttemptId id) {
+        Worker worker = workers.get(record.name());
+        if (!commands(record, worker) || !worker.fenced(record) || worker.commanding()) {
+            return false;
+        }
+        TaskReport task = worker.tasks().get(id);
+        return task == null || task.ended();
     }
 
     /**
--- a/src/main/java/org/gullway/coordination/Placing.java
+++ b/src/main/java/org/gullway/coordination/Placing.java
@@ -111,6 +111,15 @@
      */
     public List<MachineRecord> take(JobRecord job, int tasks, Collection<MachineRecord> machines, Draft draft,
                                     ClusterView view) {
+        return take(job, List.of(), tasks, machines, draft, view);
+    }
+
+    /**
+     * The same for a job of which tasks are about to be placed on some machines: those count for its zones as well.
+     * Once a job bound to one zone was pulled task by task, each time as if it had none, and spread over two.
+     */
+    public List<MachineRecord> take(JobRecord job, List<MachineRecord> planned, int tasks, Collection<MachineRecord> machines,
+                                    Draft draft, ClusterView view) {
         JobRequest request = job.request();
         List<Candidate> candidates = new ArrayList<>();
         for (MachineRecord machine : machines) {
@@ -129,6 +138,7 @@
                 MachineRecord other = view.machine(placement.machine());
                 zones.add(other == null ? "" : other.zone());
             }
+            planned.forEach(machine -> zones.add(machine.zone()));
         }
         List<MachineRecord> taken = new ArrayList<>();
         for (Candidate candidate : candidates) {
--- a/src/test/java/org/gullway/coordination/BestEffortQueueTest.java
+++ b/src/test/java/org/gullway/coordination/BestEffortQueueTest.java
@@ -7,6 +7,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.SplittableRandom;
+import org.gullway.protocol.JobRequest;
 import org.gullway.protocol.Offer;
 import org.gullway.protocol.Rank;
 import org.gullway.protocol.Settings;
@@ -107,6 +108,35 @@
         assertThat(draft.cpusUsedOf(Keys.share("perch-0"), "red")).isEqualTo(32);
     }
 
+    /** Machines of two zones have room; tasks are pulled one by one, and those planned before count for the zones. */
+    @Test
+    void tasksOfOneCommitKeepToTheZonesThatTheJobAllows() {
+        MachineRecord other = Samples.machine("vm-2", "small", Samples.SELF);
+        MachineRecord far = new MachineRecord("vm-2", other.address(), "small", "b", true, Samples.SELF, 1, 1,
+                MachineRecord.Fate.STAYS, other.rented());
+        Samples.put(view, far, 11);
+        JobRequest r = Samples.request("run-000001", "red", Rank.NORMAL, 8, 4);
+        view.put(Keys.job(r.id()), JobRecord.accepted(zones(r, true, false), "perch-0", Samples.DAY), 12);
+        Draft draft = draft();
+        queue.propose(draft, () -> List.of(machine, far), Instant.EPOCH);
+        assertThat(draft.job(r.id()).live()).as("in one zone").hasSize(4);
+        assertThat(draft.job(r.id()).live().stream().map(Placement::machine).distinct()).hasSize(1);
+
+        JobRequest s = Samples.request("run-000002", "red", Rank.NORMAL, 5, 4);
+        view.remove(Keys.job(r.id()), 13);
+        view.put(Keys.job(s.id()), JobRecord.accepted(zones(s, false, true), "perch-0", Samples.DAY), 14);
+        draft = draft();
+        queue.propose(draft, () -> List.of(machine, far), Instant.EPOCH);
+        assertThat(draft.job(s.id()).live()).as("spread over two").hasSize(5);
+        assertThat(draft.job(s.id()).live().stream().filter(p -> p.machine().equals("vm-2")).count()).isBetween(2L, 3L);
+    }
+
+    private static JobRequest zones(JobRequest r, boolean oneZone, boolean spread) {
+        return new JobRequest(r.id(), r.jobClass(), r.team(), r.shape(), r.rank(), r.tasks(), r.cpus(), r.cards(),
+                r.memoryGb(), r.image(), r.imageGb(), r.types(), r.zone(), oneZone, spread, r.spot(), r.estimate(),
+                r.checkpoint(), r.save(), r.deadline());
+    }
+
     @Test
     void nothingStartsOnAClosedMachine() {
         view.put(Keys.CLOSED, new ClosedMachines(java.util.Set.of("vm-1")), 20);
