--- a/src/main/java/org/gullway/Controller.java
+++ b/src/main/java/org/gullway/Controller.java
@@ -58,7 +58,7 @@
     private static final Duration LEAST_PAUSE = Duration.ofMillis(10);
     private static final Duration LONGEST_PAUSE = Duration.ofMillis(300);
     private static final Duration ROUND_BUDGET = Duration.ofMillis(150);
-    private static final Duration LONGEST_WATCH = Duration.ofSeconds(2);
+    private static final Duration LONGEST_WATCH = Duration.ofSeconds(1);
     private static final Duration WAIT_FOR_OTHERS = Duration.ofMillis(2500);
 
     private final EventLoop loop;
--- a/src/test/java/org/gullway/bookkeeping/LedgerTest.java
+++ b/src/test/java/org/gullway/bookkeeping/LedgerTest.java
@@ -3,6 +3,7 @@
 import static org.assertj.core.api.Assertions.assertThat;
 
 import java.time.Duration;
+import java.time.Instant;
 import java.util.ArrayList;
 import java.util.List;
 import java.util.SplittableRandom;
@@ -37,7 +38,7 @@
             store.handle(call);
         });
         ledger = new Ledger(own, new StateStore(network.client("perch-0", own), STATE), view,
-                new Membership(Samples.SELF, Duration.ofSeconds(6)), new Ledger.Pace(30, 150, 3), Duration.ofSeconds(2),
+                new Membership(Samples.SELF, Duration.ofSeconds(6)), new Ledger.Pace(30, 150, 3), Duration.ofSeconds(1),
                 () -> { });
         ledger.start();
         run(1);
@@ -88,7 +89,7 @@
         test.own.kill();
         SimulatedTime.Process process = test.time.process();
         Ledger restarted = new Ledger(process, new StateStore(test.network.client("perch-0", process), STATE),
-                another, new Membership(next, Duration.ofSeconds(6)), new Ledger.Pace(30, 150, 3), Duration.ofSeconds(2),
+                another, new Membership(next, Duration.ofSeconds(6)), new Ledger.Pace(30, 150, 3), Duration.ofSeconds(1),
                 () -> { });
         test.calls.clear();
         restarted.start();
@@ -161,4 +162,20 @@
         assertThat(test.ledger.entitled()).isTrue();
         assertThat(test.calls).filteredOn(c -> c.equals("POST /grants")).hasSizeLessThanOrEqualTo(1);
     }
+
+    /** It ends with the sending of the last watch that was answered: one that is open, or refused, adds nothing. */
+    @Property(tries = 50, seed = "32")
+    void whatIsKnownDoesNotGrowWhileTheStoreIsSilent(@ForAll @IntRange(min = 1, max = 20_000) int millis) {
+        LedgerTest test = new LedgerTest();
+        test.time.runUntil(test.time.now().plusMillis(millis));
+        Instant before = test.ledger.knownUntil();
+        assertThat(before).isBetween(test.time.now().minusMillis(2100), test.time.now());
+        test.store.setDown(true);
+        Instant down = test.time.now();
+        test.run(30);
+        assertThat(test.ledger.knownUntil()).isBeforeOrEqualTo(down);
+        test.store.setDown(false);
+        test.run(10);
+        assertThat(test.ledger.knownUntil()).isAfter(down.plusSeconds(30));
+    }
 }
--- a/src/test/java/org/gullway/coordination/MachineControlTest.java
+++ b/src/test/java/org/gullway/coordination/MachineControlTest.java
@@ -240,4 +240,58 @@
         propose();
         assertThat(view.machine("vm-1").fate()).isEqualTo(MachineRecord.Fate.LOST);
     }
+
+    /** Pushes may be lost while reports and their answers get through, and the machine may be another's. */
+    @Test
+    void everyAnswerThatRenewsALeaseStopsCancelledTasks() {
+        JobRequest request = Samples.request("run-000001", "red", Rank.NORMAL, 1, 4);
+        Samples.put(view, Samples.machine("vm-1", "large", Samples.SELF), 10);
+        place(request);
+        view.put(Keys.job(request.id()), view.job(request.id()).cancel(Samples.DAY), ++revision);
+        view.watchedTo(revision);
+        Command stop = Command.stop(TASK, 1, Duration.ZERO);
+        TaskReport running = new TaskReport(TASK, 1, Phase.RUNNING, null, false);
+        assertThat(((Answer.Commands) control.report(report(1, 1, null, running), now)).commands()).contains(stop);
+        Samples.put(view, Samples.machine("vm-1", "large", Samples.PEER), ++revision);
+        control.report(report(1, 1, null, running), now);
+        assertThat(((Answer.Commands) control.report(report(1, 1, null, running), now)).commands())
+                .as("a worker that cannot reach its controller").contains(stop);
+        view.remove(Keys.group("g-vm-1"), ++revision);
+        assertThat(((Answer.Commands) control.report(report(1, 1, null, running), now)).commands())
+                .as("a machine that is not on record").contains(stop);
+    }
+
+    /** Ten changes of leader in two minutes: silence begins anew each time, the limit of a cancelled job does not. */
+    @Test
+    void theLimitOfACancelledJobRunsOnAcrossTakeovers() {
+        JobRequest request = Samples.request("run-000001", "red", Rank.NORMAL, 1, 4);
+        Samples.put(view, Samples.machine("vm-1", "large", Samples.SELF), 10);
+        place(request);
+        view.put(Keys.job(request.id()), view.job(request.id()).cancel(Samples.DAY.minusSeconds(29)), ++revision);
+        view.watchedTo(revision);
+        control.entitled(false, now);
+        control.entitled(true, now);
+        propose();
+        assertThat(view.machine("vm-1").fate()).isEqualTo(MachineRecord.Fate.STAYS);
+        view.put(Keys.job(request.id()), view.job(request.id()).cancel(Samples.DAY.minusSeconds(31)), ++revision);
+        propose();
+        assertThat(view.machine("vm-1").fate()).as("the first cancellation counts").isEqualTo(MachineRecord.Fate.STAYS);
+        Draft later = new Draft(view, Samples.SELF, Samples.LIMITS, Samples.DAY.plusSeconds(2));
+        control.propose(later, now);
+        assertThat(later.machine("vm-1").fate()).isEqualTo(MachineRecord.Fate.LOST);
+    }
+
+    /** Its end is seen here, only the record is late: no reason to return the machine. */
+    @Test
+    void aMachineWhoseCancelledTaskIsSeenToBeGoneStays() {
+        JobRequest request = Samples.request("run-000001", "red", Rank.NORMAL, 1, 4);
+        Samples.put(view, Samples.machine("vm-1", "large", Samples.SELF), 10);
+        place(request);
+        view.put(Keys.job(request.id()), view.job(request.id()).cancel(Samples.DAY.minusSeconds(35)), ++revision);
+        view.watchedTo(revision);
+        control.report(report(1, 1, null, new TaskReport(TASK, 1, Phase.ENDED, Cause.STOPPED, false)), now);
+        Draft draft = new Draft(view, Samples.SELF, Samples.LIMITS, Samples.DAY);
+        control.propose(draft, now);
+        assertThat(draft.machine("vm-1").fate()).isEqualTo(MachineRecord.Fate.STAYS);
+    }
 }
