Peers tell what they know of cancellations, so that leases go on in a long outage

Change: a controller without the state service asks the others every second for the cancelled jobs that they know, with the attempts that may still be live. A full answer of a process that is a member in the asker's view proves that nothing that was told to anybody before the question is unknown: earlier processes of its node had ended before it joined, later ones there are none. The bound counts from the oldest of these. A peer that is away or was started anew adds nothing. What a controller reads of a single record and tells its user is in its list as well.

While nothing from outside is heard (users, health checks, peers), workers are kept at once: asking around takes ten of the seconds that the bound leaves to a zone that is cut off.

--- a/src/main/java/org/gullway/Controller.java
+++ b/src/main/java/org/gullway/Controller.java
@@ -7,11 +7,13 @@
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.Set;
 import java.util.SplittableRandom;
 import java.util.function.Consumer;
 import org.gullway.bookkeeping.Ledger;
 import org.gullway.bookkeeping.StateStore;
 import org.gullway.coordination.BestEffortQueue;
+import org.gullway.coordination.CancellationHorizon;
 import org.gullway.coordination.CancelledTasks;
 import org.gullway.coordination.ClusterView;
 import org.gullway.coordination.DecisionSteps;
@@ -30,6 +32,7 @@
 import org.gullway.coordination.ReservedBooking;
 import org.gullway.coordination.Shares;
 import org.gullway.coordination.Urgency;
+import org.gullway.protocol.Cancellations;
 import org.gullway.protocol.Cbor;
 import org.gullway.protocol.Command;
 import org.gullway.protocol.EndNotice;
@@ -58,6 +61,7 @@
     private static final Duration LEAST_PAUSE = Duration.ofMillis(10);
     private static final Duration LONGEST_PAUSE = Duration.ofMillis(300);
     private static final Duration ROUND_BUDGET = Duration.ofMillis(150);
+    private static final Duration ASK_PEERS_EVERY = Duration.ofSeconds(1);
     private static final Duration LONGEST_WATCH = Duration.ofSeconds(1);
     private static final Duration WAIT_FOR_OTHERS = Duration.ofMillis(2500);
 
@@ -72,6 +76,7 @@
     private final EndedAttempts ended;
     private final MachineControl machines;
     private final CancelledTasks cancelled;
+    private final CancellationHorizon horizon;
     private final LeaseKeeper leases;
     private final Shares shares;
     private final ReservedBooking booking;
@@ -92,6 +97,7 @@
     private Instant readySince;
     private boolean scheduled;
     private boolean wasEntitled;
+    private Instant askedPeersAt = Instant.MIN;
     private Instant notBefore = Instant.MIN;
 
     /**
@@ -119,6 +125,7 @@
         this.machines = new MachineControl(view, self, report, new Neighbours(zones, settings.cancelLimit()), ended,
                 cancelled);
         this.leases = new LeaseKeeper(view, self, cancelled, settings.cancelLimit(), settings.workerLease());
+        this.horizon = new CancellationHorizon(view, zones.keySet());
         Urgency urgency = new Urgency(settings.objectives());
         this.booking = new ReservedBooking(view, placing, pauses, urgency);
         this.queue = new BestEffortQueue(view, placing, pauses, urgency, self.node(), report, random.split());
@@ -131,7 +138,7 @@
         this.cloud = new CloudLoop(loop, http, settings.cloudAddress(), settings.cloudRequestsPerSecond(), view, placing,
                 fleet, self, timeOfDay, this::schedule);
         this.users = new UserApi(loop, view, ledger, placing, random.split(), metrics,
-                4 * settings.stateChangesPerCommit(), this::schedule);
+                4 * settings.stateChangesPerCommit(), cancelled, this::schedule);
         this.reports = new ReportIntake(loop, this::report);
         this.limits = new Draft.Limits(settings.stateChangesPerCommit(), settings.stateValueBytes());
         settings.peers().forEach(peer -> meshAddresses.put(peer.name(), peer.address()));
@@ -181,7 +188,9 @@
 
     void answer(Call call) {
         String path = call.path();
-        String method = call.method();
+        if (!path.equals("/agent/beat")) {
+            leases.outsideHeard(loop.now());
+        }
         if (path.equals("/up")) {
             only("GET", call, () -> {
                 if (ledger.entitled() && !placing.types().isEmpty()) {
@@ -216,7 +225,7 @@
 
     private void report(Call call) {
         boolean entitled = ledger.entitled();
-        if (!leases.mayRenew(ledger.knownUntil(), loop.now()) || !entitled && !wasEntitled) {
+        if (!leases.mayRenew(horizon.until(ledger.knownUntil()), loop.now()) || !entitled && !wasEntitled) {
             // Before the body is read: after a restart all workers ask again every second, and reading comes first.
             call.refuse(503, Duration.ofSeconds(1));
             return;
@@ -254,12 +263,19 @@
     }
 
     void answerPeer(Call call) {
+        leases.outsideHeard(loop.now());
         try {
             if (call.body() == null) {
                 throw new MalformedException("the body is larger than allowed");
             }
             switch (call.path()) {
                 case "/offers" -> queue.offered(Offer.decode(call.body()), loop.now());
+                case "/cancelled" -> {
+                    Set<String> known = Cancellations.decodeKnown(call.body());
+                    call.answer(200, Cancellations.encode(self.node(), self.number(),
+                            cancelled.known().stream().filter(job -> !known.contains(job.id())).toList()));
+                    return;
+                }
                 case "/ends" -> machines.noticed(EndNotice.decode(call.body()), loop.now());
                 default -> {
                     call.answer(404, new byte[0]);
@@ -308,13 +324,14 @@
         machines.entitled(ledger.entitled(), began);
         if (!ledger.entitled()) {
             if (wasEntitled) {
+                askPeers(began);
                 pressCancelled(began);
             }
             return;
         }
         wasEntitled = true;
         leases.forget();
-        cancelled.forget();
+        cancelled.entitled(ledger.knownUntil());
         openWithOthers(began);
         machines.pushes(began).forEach(this::send);
         machines.drainNotices().forEach(this::send);
@@ -371,6 +388,31 @@
         });
     }
 
+    /** Without the state service the peers are asked for the cancellations that they know. */
+    private void askPeers(Instant now) {
+        if (askedPeersAt.plus(ASK_PEERS_EVERY).isAfter(now)) {
+            return;
+        }
+        askedPeersAt = now;
+        byte[] known = Cancellations.encodeKnown(cancelled.known().stream().map(Cancellations.Job::id).toList());
+        meshAddresses.values().forEach(address ->
+                http.call(address, Reply.Request.post("/cancelled", known, MESH_LIMIT), reply -> {
+                    if (!reply.ok()) {
+                        return;
+                    }
+                    leases.outsideHeard(loop.now());
+                    try {
+                        Cancellations told = Cancellations.decode(reply.body());
+                        told.jobs().forEach(job -> cancelled.learn(job, loop.now()));
+                        if (told.complete()) {
+                            horizon.told(new Incarnation(told.node(), told.number()), now);
+                        }
+                    } catch (MalformedException e) {
+                        LOG.info("what {} knows of cancellations cannot be read: {}", address, e.getMessage());
+                    }
+                }));
+    }
+
     /** Stopping is safe without the state service, and a cancelled job's limit does not wait for it. */
     private void pressCancelled(Instant now) {
         cancelled.press(now).forEach(push -> command(push, outcome -> cancelled.pressed(push, loop.now()),
--- a/src/main/java/org/gullway/UserApi.java
+++ b/src/main/java/org/gullway/UserApi.java
@@ -14,6 +14,7 @@
 import java.util.random.RandomGenerator;
 import org.gullway.bookkeeping.Ledger;
 import org.gullway.bookkeeping.RecordCodec;
+import org.gullway.coordination.CancelledTasks;
 import org.gullway.coordination.ClusterView;
 import org.gullway.coordination.Draft;
 import org.gullway.coordination.JobRecord;
@@ -50,6 +51,7 @@
     private final Ledger ledger;
     private final Placing placing;
     private final RandomGenerator random;
+    private final CancelledTasks cancelled;
     private final Runnable changed;
     private final Metrics metrics;
     private final Map<String, Submission> submissions = new LinkedHashMap<>();
@@ -75,7 +77,7 @@
     }
 
     UserApi(EventLoop loop, ClusterView view, Ledger ledger, Placing placing, RandomGenerator random, Metrics metrics,
-            int guardsPerCommit, Runnable changed) {
+            int guardsPerCommit, CancelledTasks cancelled, Runnable changed) {
         this.loop = loop;
         this.view = view;
         this.ledger = ledger;
@@ -83,6 +85,7 @@
         this.random = random;
         this.metrics = metrics;
         this.mostVerified = Math.min(MOST_VERIFIED, guardsPerCommit);
+        this.cancelled = cancelled;
         this.changed = changed;
     }
 
@@ -370,9 +373,12 @@
     }
 
     /** A record that cannot be read still says that the job was accepted; its users must not be left without answer. */
-    private static JobStatus recorded(String id, JsonNode value) {
+    private JobStatus recorded(String id, JsonNode value) {
         try {
-            return ((JobRecord) RecordCodec.decode(Keys.job(id), value)).status();
+            JobRecord job = (JobRecord) RecordCodec.decode(Keys.job(id), value);
+            // Its user is told of the cancellation before the watch has brought it.
+            cancelled.learn(job, loop.now());
+            return job.status();
         } catch (MalformedException e) {
             LOG.error("the record of {} is not of our form: {}", id, e.getMessage());
             return new JobStatus(id, value.hasNonNull("cancelled") ? JobState.CANCELLED : JobState.PENDING, 0, 0);
--- a/src/main/java/org/gullway/coordination/CancelledTasks.java
+++ b/src/main/java/org/gullway/coordination/CancelledTasks.java
@@ -10,7 +10,9 @@
 import java.util.Map;
 import java.util.Set;
 import org.gullway.coordination.MachineControl.Push;
+import org.gullway.protocol.Cancellations;
 import org.gullway.protocol.Command;
+import org.gullway.protocol.TaskId;
 import org.gullway.protocol.TaskReport;
 import org.gullway.protocol.WorkerReport;
 
@@ -28,21 +30,106 @@
 
     private final ClusterView view;
     private final Duration patience;
+    /** Cancelled jobs that the view does not show as such, from peers or from a reading of one record. */
+    private final Map<String, Learned> learned = new LinkedHashMap<>();
     /** Attempts that a worker's answer has shown to be gone while this controller was not entitled. */
     private final Set<AttemptId> gone = new HashSet<>();
     private final Map<String, Instant> pressedAt = new HashMap<>();
     private int pressing;
 
+    private record Learned(Cancellations.Job job, Instant at) {
+    }
+
+    private record Left(Instant cancelledAt, AttemptId id, String machine, long session) {
+    }
+
     public CancelledTasks(ClusterView view, Duration cancelLimit) {
         this.view = view;
         this.patience = cancelLimit.minus(cancelLimit.dividedBy(LAST_PART));
     }
 
+    // Knowledge
+
+    private boolean isCancelled(String job) {
+        return view.isCancelled(job) || learned.containsKey(job);
+    }
+
+    /** A cancelled job of which a peer has told, or a record that was read by itself. */
+    public void learn(Cancellations.Job job, Instant now) {
+        if (!view.isCancelled(job.id())) {
+            learned.putIfAbsent(job.id(), new Learned(job, now));
+        }
+    }
+
+    public void learn(JobRecord record, Instant now) {
+        if (record.cancelled()) {
+            learn(told(record), now);
+        }
+    }
+
+    private static Cancellations.Job told(JobRecord job) {
+        return new Cancellations.Job(job.request().id(), job.cancelledAt().toEpochMilli(), job.live().stream()
+                .map(p -> new Cancellations.Attempt(p.task(), p.attempt(), p.machine(), p.session())).toList());
+    }
+
+    /** All cancelled jobs known here whose tasks may still be on machines. */
+    public List<Cancellations.Job> known() {
+        List<Cancellations.Job> jobs = new ArrayList<>();
+        for (JobRecord job : view.jobs()) {
+            if (job.cancelled()) {
+                jobs.add(told(job));
+            }
+        }
+        learned.forEach((id, each) -> {
+            if (!view.isCancelled(id)) {
+                jobs.add(each.job());
+            }
+        });
+        return jobs;
+    }
+
+    /**
+     * To be told when this controller is entitled again: from then on the records say what is gone.
+     *
+     * @param knownUntil the moment up to which all commits are surely in the view: what was learned before is there
+     */
+    public void entitled(Instant knownUntil) {
+        gone.clear();
+        pressedAt.clear();
+        learned.values().removeIf(each -> each.at().isBefore(knownUntil));
+    }
+
+    private List<Left> left() {
+        List<Left> left = new ArrayList<>();
+        for (JobRecord job : view.jobs()) {
+            if (job.cancelled()) {
+                job.live().forEach(p -> add(left, new Left(job.cancelledAt(), AttemptId.of(job, p), p.machine(), p.session())));
+            }
+        }
+        learned.forEach((id, each) -> {
+            if (!view.isCancelled(id)) {
+                Instant at = Instant.ofEpochMilli(each.job().cancelledAt());
+                each.job().attempts().forEach(a ->
+                        add(left, new Left(at, new AttemptId(new TaskId(id, a.task()), a.attempt()), a.machine(), a.session())));
+            }
+        });
+        return left;
+    }
+
+    private void add(List<Left> list, Left left) {
+        MachineRecord machine = view.machine(left.machine());
+        if (machine != null && machine.session() == left.session()) {
+            list.add(left);
+        }
+    }
+
+    // Answers to reports
+
     /** Stops for what the worker lists as live. */
     public List<Command> stops(WorkerReport report) {
         List<Command> stops = new ArrayList<>();
         for (TaskReport task : report.tasks()) {
-            if (!task.ended() && view.isCancelled(task.task().job())) {
+            if (!task.ended() && isCancelled(task.task().job())) {
                 stops.add(Command.stop(task.task(), task.attempt(), Duration.ZERO));
             }
         }
@@ -53,27 +140,29 @@
     boolean mayBegin(MachineRecord machine, WorkerReport report) {
         Set<AttemptId> listed = new HashSet<>();
         report.tasks().forEach(task -> listed.add(new AttemptId(task.task(), task.attempt())));
-        return view.placementsOn(machine.name()).entrySet().stream().anyMatch(e ->
-                e.getValue().session() == machine.session() && view.isCancelled(e.getKey().task().job())
-                        && !listed.contains(e.getKey()));
+        return left().stream().anyMatch(left -> left.machine().equals(machine.name()) && !listed.contains(left.id()));
     }
 
+    // Without entitlement
+
     /** Whether a task of this job should have been gone by now, so that its machine has to go instead. */
     boolean overdue(JobRecord job, Instant timeOfDay) {
-        return job.cancelled() && job.cancelledAt().plus(patience).isBefore(timeOfDay);
+        return job.cancelled() && overdue(job.cancelledAt(), timeOfDay);
     }
 
-    /** To be told when this controller is entitled again: from then on the records say what is gone. */
-    public void forget() {
-        gone.clear();
-        pressedAt.clear();
+    private boolean overdue(Instant cancelledAt, Instant timeOfDay) {
+        return cancelledAt.plus(patience).isBefore(timeOfDay);
     }
 
-    /** Without entitlement: stops for all machines on which cancelled tasks may be, whoever commands them. */
+    /** Stops for all machines on which cancelled tasks may be, whoever commands them. */
     public List<Push> press(Instant now) {
         Map<String, List<Command>> due = new LinkedHashMap<>();
-        forEachLeft((id, placement) -> due.computeIfAbsent(placement.machine(), m -> new ArrayList<>())
-                .add(Command.stop(id.task(), id.attempt(), Duration.ZERO)));
+        for (Left left : left()) {
+            if (!gone.contains(left.id())) {
+                due.computeIfAbsent(left.machine(), m -> new ArrayList<>())
+                        .add(Command.stop(left.id().task(), left.id().attempt(), Duration.ZERO));
+            }
+        }
         List<Push> pushes = new ArrayList<>();
         due.forEach((name, stops) -> {
             MachineRecord machine = view.machine(name);
@@ -98,42 +187,23 @@
         Set<AttemptId> live = new HashSet<>();
         answer.tasks().stream().filter(task -> !task.ended())
                 .forEach(task -> live.add(new AttemptId(task.task(), task.attempt())));
-        view.placementsOn(answer.machine()).forEach((id, placement) -> {
-            if (view.isCancelled(id.task().job())
-                    && (answer.session() > placement.session() || answer.session() == placement.session() && !live.contains(id))) {
+        for (Left left : left()) {
+            if (left.machine().equals(answer.machine()) && (answer.session() > left.session()
+                    || answer.session() == left.session() && !live.contains(left.id()))) {
                 // What begins there later ends with the lease, which nobody renews while its start may be on its way.
-                gone.add(id);
+                gone.add(left.id());
             }
-        });
+        }
     }
 
-    /** Without entitlement: machines to be returned now, since their cancelled tasks cannot be stopped otherwise. */
+    /** Machines to be returned now, since their cancelled tasks cannot be stopped otherwise. */
     public Set<String> machinesToReturn(Instant timeOfDay) {
         Set<String> machines = new HashSet<>();
-        forEachLeft((id, placement) -> {
-            if (overdue(view.job(id.task().job()), timeOfDay)) {
-                machines.add(placement.machine());
-            }
-        });
-        return machines;
-    }
-
-    private interface Left {
-        void take(AttemptId id, Placement placement);
-    }
-
-    private void forEachLeft(Left action) {
-        for (JobRecord job : view.jobs()) {
-            if (!job.cancelled()) {
-                continue;
-            }
-            for (Placement placement : job.live()) {
-                MachineRecord machine = view.machine(placement.machine());
-                AttemptId id = AttemptId.of(job, placement);
-                if (machine != null && machine.session() == placement.session() && !gone.contains(id)) {
-                    action.take(id, placement);
-                }
+        for (Left left : left()) {
+            if (!gone.contains(left.id()) && overdue(left.cancelledAt(), timeOfDay)) {
+                machines.add(left.machine());
             }
         }
+        return machines;
     }
 }
--- a/src/main/java/org/gullway/coordination/LeaseKeeper.java
+++ b/src/main/java/org/gullway/coordination/LeaseKeeper.java
@@ -10,19 +10,21 @@
  * Decides whose lease may be renewed, which an answer with 200 to a report does.
  *
  * <p><b>No longer than the knowledge of cancellations allows.</b> A cancellation that is not known here was confirmed
- * after the moment up to which all commits are known here. So no controller, entitled or not, renews a lease later than
+ * after the moment up to which they are known (see {@link CancellationHorizon}). So no controller, entitled or not, renews a lease later than
  * that moment plus the cancel limit less the lease: the worker itself then ends every such task within the limit,
  * whoever crashes and whatever messages are lost. On the operators' day "gap" the state service refused a leader alone,
  * others confirmed cancellations, and the leader kept the leases for the whole cancel limit.
  *
  * <p><b>Without entitlement</b> (in a zone that is cut off, or while the state service is down for all) leases are
  * kept under the same bound, so that the tasks there go on. No task is started then, and only workers that seem to
- * reach no other controller are kept: those that come back after they were refused here, and those that another
- * controller commands. What a worker says of a higher epoch shows that it has another commander by now; then it is
+ * reach no other controller are kept: those that come back after they were refused here, those that another
+ * controller commands, and all while nothing from outside is heard here. What a worker says of a higher epoch shows that it has another commander by now; then it is
  * refused. So is a machine on which the start of a cancelled task may still be on its way; cancelled tasks that the
  * report lists are stopped with the very answer that renews the lease.
  */
 public final class LeaseKeeper {
+    /** Health checks come about once a second, so outside something is wrong if none has come for so long. */
+    private static final Duration OUTSIDE_SILENT = Duration.ofMillis(2500);
     private static final Duration REFUSAL_MEMORY = Duration.ofSeconds(25);
     /** Steady clocks drift apart by 0.05%: for the controller's and the worker's together, and for the timers' steps. */
     private static final long DRIFT_DIVISOR = 500;
@@ -33,6 +35,7 @@
     private final CancelledTasks cancelled;
     private final Duration renewedFor;
     private final Map<String, Instant> refused = new HashMap<>();
+    private Instant outsideHeardAt = Instant.MIN;
 
     public LeaseKeeper(ClusterView view, Incarnation self, CancelledTasks cancelled, Duration cancelLimit,
                        Duration workerLease) {
@@ -45,7 +48,7 @@
     /**
      * Whether any lease may be renewed now.
      *
-     * @param knownUntil the moment up to which all commits are surely known here
+     * @param knownUntil the moment up to which all cancellations that anybody was told of are surely known here
      */
     public boolean mayRenew(Instant knownUntil, Instant now) {
         return now.isBefore(knownUntil.plus(renewedFor));
@@ -59,10 +62,16 @@
             return false;
         }
         Instant before = refused.put(report.machine(), now);
-        return !self.node().equals(machine.controller().node())
+        // A worker that asks around in vain is away for ten seconds, which a zone that is cut off does not have.
+        return !self.node().equals(machine.controller().node()) || outsideHeardAt.plus(OUTSIDE_SILENT).isBefore(now)
                 || before != null && before.plus(REFUSAL_MEMORY).isAfter(now);
     }
 
+    /** To be told of every request of a user, a health check or a peer, and of a peer's answer. */
+    public void outsideHeard(Instant now) {
+        outsideHeardAt = now;
+    }
+
     /** To be told when this controller is entitled again. */
     public void forget() {
         refused.clear();
--- /dev/null
+++ b/src/main/java/org/gullway/protocol/Cancellations.java
@@ -0,0 +1,151 @@
+package org.gullway.protocol;
+
+import java.io.ByteArrayInputStream;
+import java.io.ByteArrayOutputStream;
+import java.io.DataInputStream;
+import java.io.DataOutputStream;
+import java.io.IOException;
+import java.io.UncheckedIOException;
+import java.util.ArrayList;
+import java.util.Collection;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Set;
+
+/**
+ * What a controller knows of cancelled jobs whose tasks may still be on machines, for a peer that has lost the state
+ * service. The peer names the jobs that it knows already.
+ *
+ * @param node the controller that answers
+ * @param number of its process, which no other process has
+ * @param complete whether nothing was left out for its size
+ */
+public record Cancellations(String node, long number, boolean complete, List<Job> jobs) {
+    private static final int VERSION = 1;
+    private static final int MOST_KNOWN = 4000;
+    private static final int MOST_BYTES = 40 * 1024;
+    private static final int MOST_ATTEMPTS = 10_000;
+
+    /** A cancelled job: when that was, as the time of day in milliseconds, and its attempts that may still be live. */
+    public record Job(String id, long cancelledAt, List<Attempt> attempts) {
+    }
+
+    /** One attempt of a task in a session of a machine. */
+    public record Attempt(int task, long attempt, String machine, long session) {
+    }
+
+    public static byte[] encodeKnown(Collection<String> jobs) {
+        ByteArrayOutputStream bytes = new ByteArrayOutputStream(16 * jobs.size());
+        try (DataOutputStream out = new DataOutputStream(bytes)) {
+            out.writeByte(VERSION);
+            out.writeShort(Math.min(jobs.size(), MOST_KNOWN));
+            int left = MOST_KNOWN;
+            for (String job : jobs) {
+                if (left-- > 0) {
+                    out.writeUTF(job);
+                }
+            }
+        } catch (IOException e) {
+            throw new UncheckedIOException(e);
+        }
+        return bytes.toByteArray();
+    }
+
+    public static Set<String> decodeKnown(byte[] body) throws MalformedException {
+        try (DataInputStream in = new DataInputStream(new ByteArrayInputStream(body))) {
+            checkVersion(in);
+            int count = in.readUnsignedShort();
+            Set<String> jobs = new HashSet<>();
+            for (int i = 0; i < count; i++) {
+                jobs.add(in.readUTF());
+            }
+            checkEnd(in);
+            return jobs;
+        } catch (IOException e) {
+            throw new MalformedException("cut-off names of cancelled jobs");
+        }
+    }
+
+    /** As many of the jobs as fit into one message. */
+    public static byte[] encode(String node, long number, Collection<Job> jobs) {
+        ByteArrayOutputStream list = new ByteArrayOutputStream();
+        int written = 0;
+        try (DataOutputStream out = new DataOutputStream(list)) {
+            for (Job job : jobs) {
+                if (list.size() > MOST_BYTES) {
+                    break;
+                }
+                write(job, out);
+                written++;
+            }
+            ByteArrayOutputStream bytes = new ByteArrayOutputStream(list.size() + 64);
+            try (DataOutputStream whole = new DataOutputStream(bytes)) {
+                whole.writeByte(VERSION);
+                whole.writeUTF(node);
+                whole.writeLong(number);
+                whole.writeBoolean(written == jobs.size());
+                whole.writeShort(written);
+                list.writeTo(whole);
+            }
+            return bytes.toByteArray();
+        } catch (IOException e) {
+            throw new UncheckedIOException(e);
+        }
+    }
+
+    private static void write(Job job, DataOutputStream out) throws IOException {
+        out.writeUTF(job.id);
+        out.writeLong(job.cancelledAt);
+        out.writeInt(job.attempts.size());
+        for (Attempt attempt : job.attempts) {
+            out.writeInt(attempt.task);
+            out.writeLong(attempt.attempt);
+            out.writeUTF(attempt.machine);
+            out.writeLong(attempt.session);
+        }
+    }
+
+    public static Cancellations decode(byte[] body) throws MalformedException {
+        try (DataInputStream in = new DataInputStream(new ByteArrayInputStream(body))) {
+            checkVersion(in);
+            String node = in.readUTF();
+            long number = in.readLong();
+            boolean complete = in.readBoolean();
+            int count = in.readUnsignedShort();
+            List<Job> jobs = new ArrayList<>();
+            for (int i = 0; i < count; i++) {
+                jobs.add(readJob(in));
+            }
+            checkEnd(in);
+            return new Cancellations(node, number, complete, List.copyOf(jobs));
+        } catch (IOException e) {
+            throw new MalformedException("cut-off cancellations");
+        }
+    }
+
+    private static Job readJob(DataInputStream in) throws IOException, MalformedException {
+        String id = in.readUTF();
+        long cancelledAt = in.readLong();
+        int count = in.readInt();
+        if (count < 0 || count > MOST_ATTEMPTS) {
+            throw new MalformedException("too many attempts of " + id);
+        }
+        List<Attempt> attempts = new ArrayList<>();
+        for (int i = 0; i < count; i++) {
+            attempts.add(new Attempt(in.readInt(), in.readLong(), in.readUTF(), in.readLong()));
+        }
+        return new Job(id, cancelledAt, List.copyOf(attempts));
+    }
+
+    private static void checkVersion(DataInputStream in) throws IOException, MalformedException {
+        if (in.readUnsignedByte() != VERSION) {
+            throw new MalformedException("unknown version of cancellations");
+        }
+    }
+
+    private static void checkEnd(DataInputStream in) throws IOException, MalformedException {
+        if (in.read() >= 0) {
+            throw new MalformedException("bytes after cancellations");
+        }
+    }
+}
--- a/src/test/java/org/gullway/TroublesTest.java
+++ b/src/test/java/org/gullway/TroublesTest.java
@@ -81,7 +81,8 @@
     /**
      * Its controller keeps the leases there and the others wait for it: no task is lost, also well beyond a lease. It
      * can't be for the whole cancel limit, which it once was: by then a task that was cancelled meanwhile, without the
-     * zone hearing of it, has to be gone. What is left are a watch, a report interval and the worker's second try.
+     * zone hearing of it, has to be gone. The other 12 s are the age of what is known (2 s), a report interval (4 s) and
+     * the time in which a worker that is refused at last asks around (6 s).
      */
     @Property(tries = 6, seed = "26")
     void theWorkOfAZoneThatIsCutOffGoesOn(@ForAll @IntRange(min = 1, max = 1000) int seed) {
@@ -92,7 +93,7 @@
         world.run(Duration.ofSeconds(25));
         assertThat(world.started()).isEqualTo(12);
         world.cutZone("b", true);
-        world.run(SimulatedWorld.CANCEL.minusSeconds(8));
+        world.run(SimulatedWorld.CANCEL.minusSeconds(12));
         world.cutZone("b", false);
         finishes(world, Duration.ofSeconds(100));
         assertThat(world.started()).as("none began anew").isEqualTo(12);
--- a/src/test/java/org/gullway/coordination/CancelledTasksTest.java
+++ b/src/test/java/org/gullway/coordination/CancelledTasksTest.java
@@ -6,6 +6,7 @@
 import java.time.Instant;
 import java.util.List;
 import org.gullway.coordination.MachineControl.Push;
+import org.gullway.protocol.Cancellations;
 import org.gullway.protocol.Command;
 import org.gullway.protocol.JobRequest;
 import org.gullway.protocol.Rank;
@@ -105,7 +106,37 @@
         cancel();
         cancelled.answered(answer(1, task(Phase.ENDED)));
         assertThat(later(1)).isEmpty();
-        cancelled.forget();
+        cancelled.entitled(now);
         assertThat(later(1)).hasSize(1);
     }
+
+    /** The peer's list counts like a record: for stops, for leases, for the limit, and for what is told on. */
+    @Test
+    void whatAPeerTellsCountsLikeARecordUntilTheRecordsShowIt() {
+        Cancellations.Job job = new Cancellations.Job(request.id(), Samples.DAY.toEpochMilli(),
+                List.of(new Cancellations.Attempt(0, 1, "vm-2", 1)));
+        assertThat(cancelled.known()).isEmpty();
+        cancelled.learn(job, now);
+        assertThat(cancelled.known()).containsExactly(job);
+        assertThat(cancelled.stops(answer(1, task(Phase.RUNNING)))).hasSize(1);
+        assertThat(cancelled.mayBegin(view.machine("vm-2"), answer(1))).isTrue();
+        assertThat(cancelled.mayBegin(view.machine("vm-2"), answer(1, task(Phase.ENDED)))).isFalse();
+        assertThat(later(1)).hasSize(1);
+        assertThat(cancelled.machinesToReturn(Samples.DAY.plusSeconds(31))).containsExactly("vm-2");
+        cancelled.entitled(now.minusSeconds(1));
+        assertThat(cancelled.known()).as("the records are older than what was told").containsExactly(job);
+        cancelled.entitled(now.plusSeconds(1));
+        assertThat(cancelled.known()).isEmpty();
+    }
+
+    @Test
+    void tellsOfRecordsAndOfWhatWasReadByItself() {
+        cancelled.learn(placed, now);
+        assertThat(cancelled.known()).as("not cancelled").isEmpty();
+        cancelled.learn(placed.cancel(Samples.DAY), now);
+        assertThat(cancelled.known()).hasSize(1);
+        cancel();
+        assertThat(cancelled.known()).containsExactly(new Cancellations.Job(request.id(), Samples.DAY.toEpochMilli(),
+                List.of(new Cancellations.Attempt(0, 1, "vm-2", 1))));
+    }
 }
--- a/src/test/java/org/gullway/coordination/LeaseKeeperTest.java
+++ b/src/test/java/org/gullway/coordination/LeaseKeeperTest.java
@@ -33,15 +33,25 @@
     /** First it has to look elsewhere: if others are entitled they have its work to do. */
     @Test
     void keepsAWorkerOfItsOwnThatComesBack() {
+        leases.outsideHeard(now.plusSeconds(10));
         assertThat(leases.keeps(report("vm-1", 1, 1), now)).isFalse();
         now = now.plusSeconds(11);
         assertThat(leases.keeps(report("vm-1", 1, 1), now)).isTrue();
         now = now.plusSeconds(5);
         assertThat(leases.keeps(report("vm-1", 1, 1), now)).isTrue();
         leases.forget();
+        leases.outsideHeard(now.minusSeconds(2));
         assertThat(leases.keeps(report("vm-1", 1, 1), now)).isFalse();
     }
 
+    /** In a zone that is cut off there is nobody else, and to ask around takes ten of the seconds that are left. */
+    @Test
+    void keepsEveryWorkerWhileNothingFromOutsideIsHeard() {
+        leases.outsideHeard(now);
+        now = now.plusSeconds(3);
+        assertThat(leases.keeps(report("vm-1", 1, 1), now)).isTrue();
+    }
+
     @Test
     void keepsAWorkerThatCannotReachItsOwnController() {
         assertThat(leases.keeps(report("vm-2", 1, 1), now)).isTrue();
--- a/src/test/java/org/gullway/protocol/FormatsTest.java
+++ b/src/test/java/org/gullway/protocol/FormatsTest.java
@@ -122,6 +122,37 @@
         }
     }
 
+    @Property(tries = 50, seed = "9")
+    void cancellationsSurviveTheMeshAndCutOnesAreRefused(@ForAll @IntRange(min = 0, max = 99_999) int task,
+            @ForAll long attempt, @ForAll @IntRange(max = 60) int jobs) throws MalformedException {
+        List<Cancellations.Job> list = new ArrayList<>();
+        for (int i = 0; i < jobs; i++) {
+            list.add(new Cancellations.Job("run-" + i, 1_700_000_000_000L + i,
+                    java.util.Collections.nCopies(i, new Cancellations.Attempt(task, attempt, "vm-" + i, 3))));
+        }
+        byte[] bytes = Cancellations.encode("perch-1", attempt, list);
+        assertThat(bytes.length).isLessThan(48 * 1024);
+        Cancellations read = Cancellations.decode(bytes);
+        assertThat(read.node()).isEqualTo("perch-1");
+        assertThat(read.number()).isEqualTo(attempt);
+        assertThat(read.jobs()).isEqualTo(list.subList(0, read.jobs().size()));
+        assertThat(read.complete()).isEqualTo(read.jobs().size() == jobs);
+        assertThat(Cancellations.decodeKnown(Cancellations.encodeKnown(List.of("run-1", "run-2"))))
+                .containsExactlyInAnyOrder("run-1", "run-2");
+        for (int cut = 0; cut < bytes.length; cut += 1 + bytes.length / 200) {
+            byte[] part = java.util.Arrays.copyOf(bytes, cut);
+            assertThatThrownBy(() -> Cancellations.decode(part)).isInstanceOf(MalformedException.class);
+        }
+    }
+
+    @org.junit.jupiter.api.Test
+    void cancellationsBeyondOneMessageAreSaidToBeIncomplete() throws MalformedException {
+        List<Cancellations.Job> list = java.util.Collections.nCopies(20, new Cancellations.Job("run-1", 1,
+                java.util.Collections.nCopies(200, new Cancellations.Attempt(1, 2, "vm-000001", 3))));
+        assertThat(Cancellations.decode(Cancellations.encode("perch-1", 1, list)).complete()).isFalse();
+        assertThat(Cancellations.decode(Cancellations.encode("perch-1", 1, list.subList(0, 3))).complete()).isTrue();
+    }
+
     private static final String SETTINGS = """
             node_name = "perch-0"
             site = "a"
