--- a/src/test/java/org/gullway/ReportIntakeTest.java
+++ b/src/test/java/org/gullway/ReportIntakeTest.java
@@ -18,7 +18,8 @@
     private int handled;
 
     private Call report() {
-        return new SimulatedNetwork.Message("POST", "/agent/beat", "", new byte[0], reply -> answers.add(reply.status()));
+        return new SimulatedNetwork.Message("vm-000001", "POST", "/agent/beat", "", new byte[0],
+                reply -> answers.add(reply.status()));
     }
 
     private ReportIntake intake(Duration each) {
--- a/src/test/java/org/gullway/standin/SimulatedNetwork.java
+++ b/src/test/java/org/gullway/standin/SimulatedNetwork.java
@@ -1,6 +1,7 @@
 package org.gullway.standin;
 
 import java.time.Duration;
+import java.util.ArrayList;
 import java.util.HashMap;
 import java.util.HashSet;
 import java.util.List;
@@ -20,6 +21,9 @@
     private record Host(SimulatedTime.Process process, Consumer<Call> handler) {
     }
 
+    private record Held(String from, SimulatedTime.Process process, Reply.Request request) {
+    }
+
     private final SimulatedTime time;
     private final SimulatedTime.Process wires;
     private final RandomGenerator random;
@@ -28,6 +32,9 @@
     /** Pairs "from>to" of groups that cannot reach each other; a group is an address or a client's name. */
     private final Set<String> cuts = new HashSet<>();
     private final Set<String> unanswered = new HashSet<>();
+    private final Set<String> mute = new HashSet<>();
+    private final Set<String> heldBack = new HashSet<>();
+    private final List<Held> held = new ArrayList<>();
     private String slowPath = "";
     private Duration slowBy = Duration.ZERO;
     private double copied;
@@ -58,7 +65,11 @@
     public void heal() {
         cuts.clear();
         unanswered.clear();
+        mute.clear();
+        heldBack.clear();
+        held.clear();
         copied = 0;
+        slowBy = Duration.ZERO;
     }
 
     public void heal(String from, String to) {
@@ -80,6 +91,31 @@
         }
     }
 
+    /** This client cannot open a connection to anybody, while requests to it are served and answered. */
+    public void mute(String client, boolean on) {
+        if (on) {
+            mute.add(client);
+        } else {
+            mute.remove(client);
+        }
+    }
+
+    /** Requests of this client are kept back until {@link #release}; it hears nothing of them. */
+    public void holdBack(String client) {
+        heldBack.add(client);
+    }
+
+    /** What was held back arrives, in order, at this address; the client has long given up and hears no answer. */
+    public void release(String client, String address) {
+        heldBack.remove(client);
+        for (Held message : List.copyOf(held)) {
+            if (message.from().equals(client)) {
+                held.remove(message);
+                deliver(client, message.process(), address, message.request(), reply -> { }, latency());
+            }
+        }
+    }
+
     /** From now on this share of the requests for a path is delivered again, up to so much later, to any of these. */
     public void copyLate(double share, String path, Duration most, List<String> addresses) {
         copied = share;
@@ -106,6 +142,10 @@
             }
         };
         boolean keptConnection = random.nextDouble() < 0.7;
+        if (mute.contains(from)) {
+            process.after(request.limit(), () -> finish.accept(Reply.notSent()));
+            return;
+        }
         if (isCut(from, address) && !keptConnection) {
             process.after(request.limit(), () -> finish.accept(Reply.notSent()));
             return;
@@ -115,6 +155,10 @@
             return;
         }
         process.after(request.limit(), () -> finish.accept(Reply.unknown()));
+        if (heldBack.contains(from)) {
+            held.add(new Held(from, process, request));
+            return;
+        }
         Duration delay = latency();
         if (random.nextDouble() < trouble) {
             delay = Duration.ofMillis(random.nextInt(9000));
@@ -146,7 +190,7 @@
                 return;
             }
             int question = request.path().indexOf('?');
-            host.handler().accept(new Message(request.method(),
+            host.handler().accept(new Message(from, request.method(),
                     question < 0 ? request.path() : request.path().substring(0, question),
                     question < 0 ? "" : request.path().substring(question + 1), request.body(),
                     reply -> wires.after(request.path().split("\\?")[0].equals(slowPath) ? slowBy : Duration.ZERO,
@@ -163,8 +207,9 @@
         });
     }
 
-    /** One request on the simulated network. */
-    public record Message(String method, String path, String query, byte[] body, Consumer<Reply> reply) implements Call {
+    /** One request on the simulated network, with the name of the client that sent it. */
+    public record Message(String from, String method, String path, String query, byte[] body, Consumer<Reply> reply)
+            implements Call {
         @Override
         public void answer(int status, byte[] content) {
             reply.accept(Reply.answered(status, content));
--- a/src/test/java/org/gullway/standin/StandInStore.java
+++ b/src/test/java/org/gullway/standin/StandInStore.java
@@ -7,9 +7,12 @@
 import java.time.Instant;
 import java.util.ArrayList;
 import java.util.HashMap;
+import java.util.HashSet;
 import java.util.List;
 import java.util.Map;
+import java.util.Set;
 import java.util.TreeMap;
+import java.util.random.RandomGenerator;
 import org.gullway.protocol.Cbor;
 import org.gullway.protocol.MalformedException;
 import org.gullway.transport.Call;
@@ -23,7 +26,53 @@
     private record Event(String key, JsonNode value, long mark) {
     }
 
-    private record Watch(String prefix, long from, Call call, Runnable cancelTimer) {
+    private static final class Watch {
+        private final String client;
+        private final String prefix;
+        private final long from;
+        private final Call call;
+        private Runnable cancelTimer = () -> { };
+        private boolean timedOut;
+
+        Watch(String client, String prefix, long from, Call call) {
+            this.client = client;
+            this.prefix = prefix;
+            this.from = from;
+            this.call = call;
+        }
+    }
+
+    /** A call whose answer comes so much later; what it asks for is done at once. */
+    private record LateCall(EventLoop loop, Call call, Duration by) implements Call {
+        @Override
+        public String method() {
+            return call.method();
+        }
+
+        @Override
+        public String path() {
+            return call.path();
+        }
+
+        @Override
+        public String query() {
+            return call.query();
+        }
+
+        @Override
+        public byte[] body() {
+            return call.body();
+        }
+
+        @Override
+        public void answer(int status, byte[] content) {
+            loop.after(by, () -> call.answer(status, content));
+        }
+
+        @Override
+        public void refuse(int status, Duration retryAfter) {
+            loop.after(by, () -> call.refuse(status, retryAfter));
+        }
     }
 
     private static final class Lease {
@@ -39,6 +88,11 @@
     private long revision;
     private long nextLease;
     private boolean down;
+    private final Set<String> refused = new HashSet<>();
+    private double lateShare;
+    private RandomGenerator lateRandom;
+    private int slowMillis;
+    private RandomGenerator slowRandom;
     /** Changes by the first two parts of their keys, such as live/jobs. */
     private final Map<String, Integer> changes = new TreeMap<>();
     private int largestValue;
@@ -62,9 +116,44 @@
         down = value;
         if (!value) {
             leases.values().forEach(lease -> lease.end = loop.now().plus(lease.life));
+            wake();
+        }
+    }
+
+    /** This client alone gets 503 to everything; its open watches wait, and its leases run out. */
+    public void refuseFrom(String client, boolean on) {
+        if (on) {
+            refused.add(client);
+        } else {
+            refused.remove(client);
+            wake();
         }
     }
 
+    /** This share of transactions gets no answer and is carried out 2 to 12 s later, after newer ones. */
+    public void lateWrites(double share, RandomGenerator random) {
+        lateShare = share;
+        lateRandom = random;
+    }
+
+    /** Answers come up to so many milliseconds late, each by another time. */
+    public void slow(int mostMillis, RandomGenerator random) {
+        slowMillis = mostMillis;
+        slowRandom = random;
+    }
+
+    /** Everything is served as usual again. */
+    public void calm() {
+        refused.clear();
+        lateShare = 0;
+        slowMillis = 0;
+        setDown(false);
+    }
+
+    private boolean serves(String client) {
+        return !down && !refused.contains(client);
+    }
+
     public JsonNode value(String key) {
         Entry entry = entries.get(key);
         return entry == null ? null : entry.value();
@@ -126,8 +215,11 @@
         }
     }
 
-    public void handle(Call call) {
-        if (down) {
+    public void handle(Call received) {
+        String client = received instanceof SimulatedNetwork.Message message ? message.from() : "";
+        Call call = slowMillis == 0 ? received
+                : new LateCall(loop, received, Duration.ofMillis(slowRandom.nextInt(slowMillis)));
+        if (!serves(client)) {
             call.answer(503, new byte[0]);
             return;
         }
@@ -145,9 +237,14 @@
             } else if (path.startsWith("/store/")) {
                 get(call, path.substring("/store/".length()));
             } else if (path.equals("/commit")) {
-                commit(call, Cbor.decode(call.body()));
+                ObjectNode body = Cbor.decode(call.body());
+                if (lateShare > 0 && lateRandom.nextDouble() < lateShare) {
+                    loop.after(Duration.ofMillis(2000 + lateRandom.nextInt(10_000)), () -> commitLate(call, body));
+                } else {
+                    commit(call, body);
+                }
             } else if (path.equals("/watch")) {
-                watch(call, query);
+                watch(client, call, query);
             } else if (path.startsWith("/grants")) {
                 lease(call, path.split("/"));
             } else {
@@ -196,6 +293,16 @@
         call.answer(200, Cbor.encode(node.put("more", more)));
     }
 
+    /** Carries out a transaction that nobody waits for any more; an outage holds it up further. */
+    private void commitLate(Call call, ObjectNode body) {
+        if (down) {
+            loop.after(Duration.ofMillis(500), () -> commitLate(call, body));
+        } else {
+            commit(new SimulatedNetwork.Message("", call.method(), call.path(), call.query(), call.body(), reply -> { }),
+                    body);
+        }
+    }
+
     private void commit(Call call, ObjectNode body) {
         if (!keepsLimits(call, body)) {
             return;
@@ -238,28 +345,22 @@
         wake();
     }
 
-    private void watch(Call call, Map<String, String> query) {
+    private void watch(String client, Call call, Map<String, String> query) {
         String prefix = query.getOrDefault("under", "");
         long from = Long.parseLong(query.get("from"));
         Duration wait = Duration.ofMillis(Long.parseLong(query.getOrDefault("block_ms", "0")));
-        Watch[] self = new Watch[1];
-        Runnable cancel = loop.after(wait, () -> {
-            if (watches.remove(self[0])) {
-                answer(self[0]);
-            }
+        Watch watch = new Watch(client, prefix, from, call);
+        watch.cancelTimer = loop.after(wait, () -> {
+            watch.timedOut = true;
+            wake();
         });
-        self[0] = new Watch(prefix, from, call, cancel);
-        if (pending(self[0])) {
-            cancel.run();
-            answer(self[0]);
-        } else {
-            watches.add(self[0]);
-        }
+        watches.add(watch);
+        wake();
     }
 
     private boolean pending(Watch watch) {
-        for (int i = history.size() - 1; i >= 0 && history.get(i).mark() > watch.from(); i--) {
-            if (history.get(i).key().startsWith(watch.prefix())) {
+        for (int i = history.size() - 1; i >= 0 && history.get(i).mark() > watch.from; i--) {
+            if (history.get(i).key().startsWith(watch.prefix)) {
                 return true;
             }
         }
@@ -270,11 +371,11 @@
         ObjectNode node = Cbor.map().put("logline", revision);
         ArrayNode events = node.putArray("events");
         int first = history.size();
-        while (first > 0 && history.get(first - 1).mark() > watch.from()) {
+        while (first > 0 && history.get(first - 1).mark() > watch.from) {
             first--;
         }
         for (Event event : history.subList(first, history.size())) {
-            if (event.key().startsWith(watch.prefix())) {
+            if (event.key().startsWith(watch.prefix)) {
                 ObjectNode e = events.addObject().put("mark", event.mark());
                 if (event.value() == null) {
                     e.put("remove", event.key());
@@ -283,14 +384,14 @@
                 }
             }
         }
-        watch.call().answer(200, Cbor.encode(node));
+        watch.call.answer(200, Cbor.encode(node));
     }
 
     private void wake() {
         for (Watch watch : List.copyOf(watches)) {
-            if (pending(watch)) {
+            if (serves(watch.client) && (watch.timedOut || pending(watch))) {
                 watches.remove(watch);
-                watch.cancelTimer().run();
+                watch.cancelTimer.run();
                 answer(watch);
             }
         }
--- a/src/test/java/org/gullway/standin/StandInWorker.java
+++ b/src/test/java/org/gullway/standin/StandInWorker.java
@@ -5,6 +5,7 @@
 import com.fasterxml.jackson.databind.node.ObjectNode;
 import java.time.Duration;
 import java.time.Instant;
+import java.util.ArrayList;
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
@@ -47,6 +48,8 @@
         private String state = "running";
         private String cause;
         private Runnable timer = () -> { };
+        private Duration left = Duration.ZERO;
+        private Instant since;
 
         Task(String id, long attempt) {
             this.id = id;
@@ -58,6 +61,8 @@
         }
     }
 
+    private static final Duration PATIENCE = Duration.ofSeconds(4);
+
     private final EventLoop loop;
     private final Client client;
     private final World world;
@@ -78,6 +83,8 @@
     private Instant lastReport = Instant.MIN;
     private boolean reporting;
     private boolean alive = true;
+    private boolean hung;
+    private final List<Runnable> whenItGoesOn = new ArrayList<>();
     private Runnable nextReport = () -> { };
 
     public StandInWorker(EventLoop loop, Client client, World world, RandomGenerator random, String name,
@@ -124,6 +131,51 @@
         }
     }
 
+    /**
+     * For so long nothing runs on the machine; its tasks stay on it. Beyond its lease it first kills them when it goes
+     * on; what has arrived meanwhile comes after that.
+     */
+    public void hang(Duration span) {
+        if (!alive || hung) {
+            return;
+        }
+        hung = true;
+        for (Task task : tasks.values()) {
+            if (!task.state.equals("ended")) {
+                task.timer.run();
+                task.left = task.left.minus(Duration.between(task.since, loop.now()));
+            }
+        }
+        loop.after(span, () -> {
+            hung = false;
+            if (!alive) {
+                return;
+            }
+            endSessionIfOver();
+            tasks.values().stream().filter(task -> !task.state.equals("ended")).forEach(this::goOn);
+            List<Runnable> missed = List.copyOf(whenItGoesOn);
+            whenItGoesOn.clear();
+            missed.forEach(Runnable::run);
+        });
+    }
+
+    public boolean hung() {
+        return hung;
+    }
+
+    /** The machine's own timers: what comes due while it hangs runs when it goes on. */
+    private Runnable later(Duration delay, Runnable task) {
+        return loop.after(delay, () -> unlessHung(task));
+    }
+
+    private void unlessHung(Runnable task) {
+        if (hung) {
+            whenItGoesOn.add(task);
+        } else {
+            task.run();
+        }
+    }
+
     private void killAll() {
         for (Task task : tasks.values()) {
             if (!task.state.equals("ended")) {
@@ -138,13 +190,17 @@
         if (!alive) {
             return;
         }
+        endSessionIfOver();
+        later(Duration.ofMillis(200), this::checkLease);
+    }
+
+    private void endSessionIfOver() {
         if (renewed.plus(lease).isBefore(loop.now())) {
             killAll();
             session++;
             renewed = loop.now();
             changed();
         }
-        loop.after(Duration.ofMillis(200), this::checkLease);
     }
 
     private void changed() {
@@ -157,7 +213,7 @@
 
     private void reportIn(Duration delay) {
         nextReport.run();
-        nextReport = loop.after(delay, this::report);
+        nextReport = later(delay, this::report);
     }
 
     private void report() {
@@ -170,7 +226,9 @@
         long inSession = session;
         String to = controllers.get(controller);
         client.call(controllerAddresses.get(to), Reply.Request.post("/agent/beat", Cbor.encode(account()),
-                Duration.ofSeconds(4)), reply -> {
+                PATIENCE), answer -> unlessHung(() -> {
+            // A machine that hung reads answers only now; it drops those that are older than its patience.
+            Reply reply = loop.now().isAfter(sent.plus(PATIENCE)) ? Reply.unknown() : answer;
             reporting = false;
             if (!alive) {
                 return;
@@ -188,7 +246,7 @@
                     reportIn(Duration.ofSeconds(1));
                 }
             }
-        });
+        }));
     }
 
     private static String redirect(byte[] body) {
@@ -213,11 +271,19 @@
         }
     }
 
-    /** Answers a direct command. */
+    /** Answers a direct command or a question, when the machine goes on if it hangs. */
     public void handle(Call call) {
+        unlessHung(() -> serve(call));
+    }
+
+    private void serve(Call call) {
         if (!alive) {
             return;
         }
+        if (call.path().equals("/inspect")) {
+            call.answer(200, Cbor.encode(account()));
+            return;
+        }
         try {
             ObjectNode node = Cbor.decode(call.body());
             if (!node.has("baton") || !node.has("flight")) {
@@ -305,7 +371,13 @@
             return;
         }
         world.began(name, task.id);
-        task.timer = loop.after(world.runTime(task.job()), () -> {
+        task.left = world.runTime(task.job());
+        goOn(task);
+    }
+
+    private void goOn(Task task) {
+        task.since = loop.now();
+        task.timer = later(task.left, () -> {
             if (alive && !task.state.equals("ended")) {
                 end(task, world.fails(name, task.job()) ? "error" : "done");
             }
