--- a/src/test/java/org/gullway/SimulatedWorld.java
+++ b/src/test/java/org/gullway/SimulatedWorld.java
@@ -1,16 +1,17 @@
 package org.gullway;
 
+import com.fasterxml.jackson.databind.JsonNode;
+import com.fasterxml.jackson.databind.node.ObjectNode;
 import java.time.Duration;
 import java.time.Instant;
 import java.time.InstantSource;
 import java.util.ArrayList;
 import java.util.HashMap;
-import java.util.HashSet;
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
-import java.util.Set;
 import java.util.SplittableRandom;
+import org.gullway.coordination.Keys;
 import org.gullway.protocol.Cbor;
 import org.gullway.protocol.JobRequest;
 import org.gullway.protocol.MachineType;
@@ -39,23 +40,14 @@
     final SimulatedNetwork network;
     final StandInStore store;
     final StandInCloud cloud;
-    final List<String> broken = new ArrayList<>();
+    final RuleCheck rules;
+    final List<String> broken;
     private final SimulatedTime.Process world = time.process();
     private final Map<String, SimulatedTime.Process> running = new HashMap<>();
     private final Map<String, String> addresses = new LinkedHashMap<>();
     private final Map<String, User> users = new LinkedHashMap<>();
-    /** Machines on which a task is now. */
-    private final Map<String, Set<String>> places = new HashMap<>();
-    private final Map<String, Double> used = new HashMap<>();
-    private final Set<String> completed = new HashSet<>();
-    private final Map<String, Instant> began = new HashMap<>();
-    private int started;
-    private Instant quietSince;
     private final Shape shape;
 
-    /** A job about which no question is answered for so long after all troubles is forgotten. */
-    private static final Duration FORGOTTEN = Duration.ofSeconds(75);
-
     /** Size of a world: machines of each type, zone and kind, teams, and how often workers report. */
     record Shape(int capacity, Map<String, Settings.Team> teams, Duration report, double trouble) {
         static final Map<String, Settings.Team> SMALL_TEAMS = Map.of(
@@ -72,9 +64,6 @@
         final Duration runTime;
         private final Client client;
         private boolean accepted;
-        private String told = "";
-        private Instant cancelTold;
-        private boolean cancelAsked;
 
         User(JobRequest request, Duration runTime) {
             this.request = request;
@@ -83,7 +72,7 @@
         }
 
         boolean over() {
-            return told.equals("done") || told.equals("aborted");
+            return rules.over(request.id());
         }
 
         private String node() {
@@ -91,10 +80,13 @@
         }
 
         void submit() {
+            Instant asked = time.now();
             client.call(node(), Reply.Request.post("/v2/runs", Cbor.encode(request.toNode()), Duration.ofSeconds(5)),
                     reply -> {
                         if (reply.status() == 201 || reply.status() == 200) {
                             accepted = true;
+                            rules.accepted(request.id(), time.now());
+                            hear(reply, asked);
                             poll();
                         } else if (reply.status() == 400 || reply.status() == 422) {
                             broken.add("forgotten: " + request.id() + " was refused with " + reply.status());
@@ -104,41 +96,51 @@
                     });
         }
 
+        /** Asks for the cancellation until it is answered. */
         void cancel() {
-            if (over()) {
-                return;
+            if (!over()) {
+                cancelOnce(node(), () -> world.after(Duration.ofSeconds(1), this::cancel));
             }
-            cancelAsked = true;
+        }
+
+        /** One request, also for a job that is over; it must be answered with the state that was told. */
+        void cancelOnce(String address, Runnable unanswered) {
+            rules.cancelAsked(request.id());
             boolean known = accepted;
-            client.call(node(), Reply.Request.post("/v2/runs/" + request.id() + "/withdraw",
+            Instant asked = time.now();
+            client.call(address, Reply.Request.post("/v2/runs/" + request.id() + "/withdraw",
                     Cbor.encode(Cbor.map()), Duration.ofSeconds(5)), reply -> {
                 if (reply.status() == 200) {
-                    hear(reply, time.now());
+                    hear(reply, asked);
+                    rules.cancelAnswered(request.id(), state(reply), time.now());
                 } else if (reply.status() == 404 && known) {
                     broken.add("forgotten: cancellation of " + request.id());
                 } else {
-                    world.after(Duration.ofSeconds(1), this::cancel);
+                    unanswered.run();
                 }
             });
         }
 
-        private Instant answered;
-
         private void poll() {
+            ask(node());
+            world.after(Duration.ofSeconds(over() ? 25 : 5), this::poll);
+        }
+
+        private void ask(String address) {
             Instant asked = time.now();
-            if (quietSince != null && quietSince.plus(FORGOTTEN).isBefore(asked)
-                    && (answered == null || answered.plus(FORGOTTEN).isBefore(asked))) {
-                broken.add("forgotten: nothing is answered about " + request.id());
-            }
-            client.call(node(), Reply.Request.get("/v2/runs/" + request.id(), Duration.ofSeconds(2)), reply -> {
+            client.call(address, Reply.Request.get("/v2/runs/" + request.id(), Duration.ofSeconds(2)), reply -> {
                 if (reply.status() == 200) {
-                    answered = time.now();
                     hear(reply, asked);
-                } else if (reply.status() == 404) {
-                    broken.add("forgotten: " + request.id());
                 }
+                rules.asked(request.id(), reply.status(), asked, time.now());
             });
-            world.after(Duration.ofSeconds(over() ? 25 : 5), this::poll);
+        }
+
+        /** All controllers must say the same of a job that is over. */
+        void askEverywhere() {
+            if (accepted) {
+                addresses.values().forEach(this::ask);
+            }
         }
 
         /** A submission that is repeated at any later time is answered with the job's state. */
@@ -149,56 +151,33 @@
             Instant asked = time.now();
             client.call(node(), Reply.Request.post("/v2/runs", Cbor.encode(request.toNode()), Duration.ofSeconds(5)),
                     reply -> {
+                        rules.submittedAgain(request.id(), reply.status(), time.now());
                         if (reply.status() == 200) {
                             hear(reply, asked);
-                        } else if (reply.status() == 201 || reply.status() == 400 || reply.status() == 422) {
-                            broken.add("forgotten: " + request.id() + " submitted again: " + reply.status());
                         }
                     });
         }
 
         /** Time from the submission until the first task began; null if none has. */
         Duration waited() {
-            Instant first = began.get(request.id());
+            Instant first = rules.firstStart(request.id());
             return first == null ? null : Duration.between(submitted, first);
         }
 
         private final Instant submitted = time.now();
 
-        private Instant toldAt = Instant.MIN;
-
-        private void hear(Reply reply, Instant asked) {
-            String state;
+        private String state(Reply reply) {
             try {
-                state = Cbor.decode(reply.body()).path("tide").asText();
+                return Cbor.decode(reply.body()).path("tide").asText();
             } catch (MalformedException e) {
                 broken.add("unreadable answer: " + e.getMessage());
-                return;
-            }
-            if (over() && !state.equals(told) && asked.isAfter(toldAt)) {
-                broken.add("went_back: " + request.id() + " was " + told + ", then " + state);
+                return "";
             }
-            if (state.equals("aborted") && !cancelAsked) {
-                broken.add("went_back: " + request.id() + " is cancelled by nobody");
-            }
-            if (state.equals("done")) {
-                for (int i = 0; i < request.tasks(); i++) {
-                    if (!completed.contains(request.id() + "/" + i)) {
-                        broken.add("not_done: " + request.id() + "/" + i);
-                    }
-                }
-            }
-            if (!over() && (state.equals("done") || state.equals("aborted"))) {
-                told = state;
-                toldAt = time.now();
-                if (state.equals("aborted")) {
-                    cancelTold = time.now();
-                    world.after(CANCEL, () -> places.forEach((task, machines) -> {
-                        if (task.startsWith(request.id() + "/") && !machines.isEmpty()) {
-                            broken.add("ran_cancelled: " + task + " is on " + machines);
-                        }
-                    }));
-                }
+        }
+
+        private void hear(Reply reply, Instant asked) {
+            if (rules.heard(request.id(), state(reply), asked, time.now())) {
+                world.after(CANCEL, () -> rules.atCancelLimit(request.id(), time.now()));
             }
         }
     }
@@ -209,6 +188,8 @@
 
     SimulatedWorld(long seed, Shape shape) {
         this.shape = shape;
+        rules = new RuleCheck(CANCEL, shape.teams());
+        broken = rules.broken;
         random = new SplittableRandom(seed);
         network = new SimulatedNetwork(time, random.split(), shape.trouble());
         store = new StandInStore(world);
@@ -220,18 +201,25 @@
         }
         cloud = new StandInCloud(world, types, shape.capacity(), (name, kind) -> {
             String address = "10.1.0." + Integer.parseInt(name.substring(3)) + ":9000";
-            StandInWorker worker = new StandInWorker(world, network.client(name, world), new Rules(), random.split(),
+            StandInWorker worker = new StandInWorker(world, network.client(name, world), new Workers(), random.split(),
                     name, address, kind, addresses, shape.report(), LEASE);
             network.listen(address, world, worker::handle);
+            rules.machine(name, kind);
             return worker;
         });
         network.listen(STATE, world, store::handle);
         network.listen(CLOUD, world, cloud::handle);
         addresses.keySet().forEach(this::startController);
+        world.every(Duration.ofSeconds(1), () -> rules.waiting(this::isUp, time.now()));
     }
 
-    /** The world as the workers see it, and the rules that concern them. */
-    private final class Rules implements StandInWorker.World {
+    private boolean isUp(String machine) {
+        StandInWorker worker = cloud.worker(machine);
+        return worker != null && worker.alive() && !worker.hung();
+    }
+
+    /** The world as the workers see it. */
+    private final class Workers implements StandInWorker.World {
         @Override
         public JobRequest describe(String job) {
             User user = users.get(job);
@@ -250,42 +238,17 @@
 
         @Override
         public boolean completed(String task) {
-            return completed.contains(task);
+            return rules.completed(task);
         }
 
         @Override
         public void began(String machine, String task) {
-            started++;
-            began.putIfAbsent(task.substring(0, task.indexOf('/')), time.now());
-            Set<String> on = places.computeIfAbsent(task, t -> new HashSet<>());
-            if (!on.isEmpty()) {
-                broken.add("ran_twice: " + task + " starts on " + machine + " while on " + on);
-            }
-            on.add(machine);
-            User user = users.get(task.substring(0, task.indexOf('/')));
-            if (user.cancelTold != null && time.now().isAfter(user.cancelTold.plus(CANCEL))) {
-                broken.add("ran_cancelled: " + task + " starts");
-            }
-            StandInWorker worker = cloud.worker(machine);
-            if (worker != null && worker.kind().spot() && !user.request.spot()) {
-                broken.add("wrong_place: " + task + " on " + machine);
-            }
-            String team = user.request.team();
-            double use = used.merge(team, user.request.cpus(), Double::sum);
-            if (use > shape.teams().get(team).cpusMax() + 1e-6) {
-                broken.add("quota: " + team + " uses " + use);
-            }
+            rules.began(machine, task, time.now());
         }
 
         @Override
         public void ended(String machine, String task, boolean done) {
-            JobRequest request = users.get(task.substring(0, task.indexOf('/'))).request;
-            if (places.getOrDefault(task, Set.of()).remove(machine)) {
-                used.merge(request.team(), -request.cpus(), Double::sum);
-            }
-            if (done) {
-                completed.add(task);
-            }
+            rules.ended(machine, task, done);
         }
     }
 
@@ -350,8 +313,8 @@
     /** All troubles are over: from now on every job is known and nothing is forgotten. */
     void calm() {
         network.heal();
-        store.setDown(false);
-        quietSince = time.now();
+        store.calm();
+        rules.calm(time.now());
     }
 
     List<String> nodes() {
@@ -374,14 +337,78 @@
         return STATE;
     }
 
-    void submit(int number, String team, Rank rank, int tasks, double cpus, Duration runTime) {
-        String id = String.format("run-%06d", number);
-        JobRequest request = new JobRequest(id, cpus >= 16 ? "survey" : "render", team, JobRequest.Shape.ARRAY, rank, tasks, cpus, 0, cpus,
-                "img-" + number % 3, 0.5, null, null, false, false, number % 4 != 0, runTime, Duration.ZERO,
-                Duration.ZERO, null);
-        User user = new User(request, runTime);
-        users.put(id, user);
+    /** Where a job's tasks may be. */
+    record Bounds(List<String> types, String zone, boolean oneZone, boolean spread, boolean spot) {
+        static final Bounds ONE_ZONE = new Bounds(null, null, true, false, true);
+        static final Bounds SPREAD = new Bounds(null, null, false, true, true);
+
+        static Bounds in(String zone) {
+            return new Bounds(null, zone, false, false, true);
+        }
+    }
+
+    User submit(int number, String team, Rank rank, int tasks, double cpus, Duration runTime) {
+        return submit(number, team, rank, tasks, cpus, runTime, new Bounds(null, null, false, false, number % 4 != 0));
+    }
+
+    User submit(int number, String team, Rank rank, int tasks, double cpus, Duration runTime, Bounds bounds) {
+        User user = new User(request(number, team, rank, tasks, cpus, runTime, bounds), runTime);
+        users.put(user.request.id(), user);
+        rules.submitted(user.request);
         user.submit();
+        return user;
+    }
+
+    private static JobRequest request(int number, String team, Rank rank, int tasks, double cpus, Duration runTime,
+                                      Bounds bounds) {
+        return new JobRequest(String.format("run-%06d", number), cpus >= 16 ? "survey" : "render", team,
+                JobRequest.Shape.ARRAY, rank, tasks, cpus, 0, cpus, "img-" + number % 3, 0.5, bounds.types(),
+                bounds.zone(), bounds.oneZone(), bounds.spread(), bounds.spot(), runTime, Duration.ZERO, Duration.ZERO,
+                null);
+    }
+
+    /** A submission that lacks a field, and one that fits no machine; both are refused, and nobody knows them later. */
+    void submitOdd(int number) {
+        ObjectNode lacking = request(number, "blue", Rank.HIGH, 2, 4, Duration.ofSeconds(5), Bounds.SPREAD).toNode();
+        lacking.remove("crew");
+        submitOdd(lacking, 400);
+        submitOdd(request(number + 1, "blue", Rank.HIGH, 2, 64, Duration.ofSeconds(5), Bounds.SPREAD).toNode(), 422);
+    }
+
+    private void submitOdd(ObjectNode node, int expected) {
+        String id = node.path("name_id").asText();
+        Client client = network.client("users", world);
+        String address = userAddresses().get(random.nextInt(addresses.size()));
+        client.call(address, Reply.Request.post("/v2/runs", Cbor.encode(node), Duration.ofSeconds(5)), reply -> {
+            if (!rules.odd(id, expected, reply.status())) {
+                world.after(Duration.ofSeconds(1), () -> submitOdd(node, expected));
+            }
+        });
+        world.after(Duration.ofSeconds(8), () -> client.call(address,
+                Reply.Request.get("/v2/runs/" + id, Duration.ofSeconds(2)), reply -> rules.askedUnknown(id, reply.status())));
+    }
+
+    /** The name of the controller that is the leader by the state service; null if there is none. */
+    String leader() {
+        JsonNode leader = store.value(Keys.LEADER);
+        return leader == null ? null : leader.path("node").asText();
+    }
+
+    String otherThan(String node) {
+        return nodes().stream().filter(n -> !n.equals(node)).findFirst().orElseThrow();
+    }
+
+    /** Cuts the connections of this controller to the others, both ways, or ends that. */
+    void cutMesh(String node, boolean cut) {
+        for (String other : nodes()) {
+            if (cut) {
+                network.cut(node, meshAddress(other));
+                network.cut(other, meshAddress(node));
+            } else {
+                network.heal(node, meshAddress(other));
+                network.heal(other, meshAddress(node));
+            }
+        }
     }
 
     void after(Duration delay, Runnable task) {
@@ -397,10 +424,10 @@
     }
 
     List<String> unfinished() {
-        return users.values().stream().filter(u -> !u.over()).map(u -> u.request.id() + " " + u.told).toList();
+        return users.values().stream().filter(u -> !u.over()).map(u -> u.request.id() + " " + rules.told(u.request.id())).toList();
     }
 
     int started() {
-        return started;
+        return rules.starts();
     }
 }
