--- a/src/test/java/org/gullway/RuleCheck.java
+++ b/src/test/java/org/gullway/RuleCheck.java
@@ -154,6 +154,11 @@
         return jobs.get(job(task)).completed.contains(Integer.parseInt(task.substring(task.indexOf('/') + 1)));
     }
 
+    boolean allCompleted(String id) {
+        Job job = jobs.get(id);
+        return job.completed.size() == job.request.tasks();
+    }
+
     // Users
 
     void submitted(JobRequest request) {
@@ -330,7 +335,8 @@
         return startsAfterCancellation;
     }
 
-    boolean isRunning(String id) {
-        return places.getOrDefault(id, Map.of()).values().stream().anyMatch(on -> !on.isEmpty());
+    /** Tasks that are on a machine now. */
+    long running() {
+        return places.values().stream().flatMap(tasks -> tasks.values().stream()).filter(on -> !on.isEmpty()).count();
     }
 }
--- a/src/test/java/org/gullway/SimulatedWorld.java
+++ b/src/test/java/org/gullway/SimulatedWorld.java
@@ -11,6 +11,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.SplittableRandom;
+import java.util.function.Consumer;
 import org.gullway.coordination.Keys;
 import org.gullway.protocol.Cbor;
 import org.gullway.protocol.JobRequest;
@@ -47,6 +48,7 @@
     private final Map<String, String> addresses = new LinkedHashMap<>();
     private final Map<String, User> users = new LinkedHashMap<>();
     private final Shape shape;
+    private Consumer<User> whenDone = user -> { };
 
     /** Size of a world: machines of each type, zone and kind, teams, and how often workers report. */
     record Shape(int capacity, Map<String, Settings.Team> teams, Duration report, double trouble) {
@@ -249,6 +251,10 @@
         @Override
         public void ended(String machine, String task, boolean done) {
             rules.ended(machine, task, done);
+            User user = users.get(task.substring(0, task.indexOf('/')));
+            if (done && rules.allCompleted(user.request.id())) {
+                whenDone.accept(user);
+            }
         }
     }
 
@@ -388,6 +394,11 @@
                 Reply.Request.get("/v2/runs/" + id, Duration.ofSeconds(2)), reply -> rules.askedUnknown(id, reply.status())));
     }
 
+    /** Is told at the very moment at which the last task of a job has completed. */
+    void whenDone(Consumer<User> told) {
+        whenDone = told;
+    }
+
     /** The name of the controller that is the leader by the state service; null if there is none. */
     String leader() {
         JsonNode leader = store.value(Keys.LEADER);
--- a/src/test/java/org/gullway/standin/StandInWorker.java
+++ b/src/test/java/org/gullway/standin/StandInWorker.java
@@ -159,6 +159,11 @@
         });
     }
 
+    /** The name of the controller to which it reports at present. */
+    public String reportsTo() {
+        return controllers.get(controller);
+    }
+
     public boolean hung() {
         return hung;
     }
