--- a/src/test/java/org/gullway/MeetingsTest.java
+++ b/src/test/java/org/gullway/MeetingsTest.java
@@ -155,7 +155,8 @@
     private static void boundJobsLoseMachines(int seed, List<Rank> ranks) {
         SimulatedWorld world = new SimulatedWorld(seed, 0, 3);
         List<Bounds> bounds = List.of(Bounds.in("a"), Bounds.ONE_ZONE, Bounds.SPREAD,
-                new Bounds(List.of("large"), null, true, false, false), new Bounds(List.of("small"), "b", false, false, true));
+                new Bounds(List.of("large"), null, true, false, false),
+                new Bounds(List.of("small"), "b", false, false, true));
         for (int i = 1; i <= 10; i++) {
             world.submit(i, i % 3 == 0 ? "red" : "blue", ranks.get(i % 2), 5, 4, Duration.ofSeconds(25), bounds.get(i % 5));
         }
--- a/src/test/java/org/gullway/SimulatedWorld.java
+++ b/src/test/java/org/gullway/SimulatedWorld.java
@@ -391,7 +391,8 @@
             }
         });
         world.after(Duration.ofSeconds(8), () -> client.call(address,
-                Reply.Request.get("/v2/runs/" + id, Duration.ofSeconds(2)), reply -> rules.askedUnknown(id, reply.status())));
+                Reply.Request.get("/v2/runs/" + id, Duration.ofSeconds(2)),
+                reply -> rules.askedUnknown(id, reply.status())));
     }
 
     /** Is told at the very moment at which the last task of a job has completed. */
@@ -435,7 +436,8 @@
     }
 
     List<String> unfinished() {
-        return users.values().stream().filter(u -> !u.over()).map(u -> u.request.id() + " " + rules.told(u.request.id())).toList();
+        return users.values().stream().filter(u -> !u.over()).map(u -> u.request.id() + " " + rules.told(u.request.id()))
+                .toList();
     }
 
     int started() {
