--- a/src/test/java/org/gullway/MeetingsTest.java
+++ b/src/test/java/org/gullway/MeetingsTest.java
@@ -4,6 +4,7 @@
 
 import java.time.Duration;
 import java.util.List;
+import java.util.function.BiConsumer;
 import net.jqwik.api.ForAll;
 import net.jqwik.api.Property;
 import net.jqwik.api.constraints.IntRange;
@@ -309,6 +310,72 @@
         endsWell(world, Duration.ofSeconds(200));
     }
 
+    // Jobs are cancelled at the very moment at which the state service refuses the leader alone, and a second later it is
+    // out for longer than the cancel limit.
+
+    /** Workers report on to the leader, which alone has not heard of the cancellations. */
+    private static void gap(int seed, BiConsumer<SimulatedWorld, String> meanwhile) {
+        SimulatedWorld world = working(seed, LONG);
+        String leader = world.leader();
+        String confirming = world.otherThan(leader);
+        world.store.refuseFrom(leader, true);
+        meanwhile.accept(world, leader);
+        world.after(Duration.ofMillis(100), () -> cancelThrough(world, confirming, world.users().subList(0, 7)));
+        world.run(seconds(1.1 + seed % 10 / 10.0));
+        assertThat(world.unfinished().size()).as("some are cancelled").isLessThan(world.users().size());
+        world.store.setDown(true);
+        endsWell(world, SimulatedWorld.CANCEL.plusSeconds(15));
+    }
+
+    @Property(tries = 6, seed = "115")
+    void aLeaderRefusedAloneCancellationsAndAnOutage(@ForAll @IntRange(min = 1, max = 1000) int seed) {
+        gap(seed, (world, leader) -> { });
+    }
+
+    @Property(tries = 6, seed = "116")
+    void aLeaderRefusedAloneAndCutFromTheOthersCancellationsAndAnOutage(@ForAll @IntRange(min = 1, max = 1000) int seed) {
+        gap(seed, (world, leader) -> world.cutMesh(leader, true));
+    }
+
+    @Property(tries = 6, seed = "117")
+    void aLeaderRefusedAloneAndTheConfirmingControllerEnds(@ForAll @IntRange(min = 1, max = 1000) int seed) {
+        gap(seed, (world, leader) -> world.after(Duration.ofMillis(110 + seed % 400), () ->
+                world.crash(world.otherThan(leader), Duration.ofSeconds(seed % 60))));
+    }
+
+    /** They hang for less than the cancel limit: during an outage nobody but their leases can end what is on them. */
+    @Property(tries = 6, seed = "118")
+    void aLeaderRefusedAloneCancellationsAnOutageAndMachinesThatHang(@ForAll @IntRange(min = 1, max = 1000) int seed) {
+        gap(seed, (world, leader) -> world.cloud.workers().stream().limit(4).forEach(worker ->
+                world.after(Duration.ofMillis(50 + seed % 300), () -> worker.hang(Duration.ofSeconds(5 + seed % 30)))));
+    }
+
+    @Property(tries = 6, seed = "119")
+    void aLeaderRefusedAloneCancellationsAnOutageAndDeafMachines(@ForAll @IntRange(min = 1, max = 1000) int seed) {
+        gap(seed, (world, leader) -> world.cloud.workers().stream().limit(4).forEach(worker ->
+                deafen(world, worker, Duration.ofSeconds(10 + seed % 50))));
+    }
+
+    @Property(tries = 6, seed = "120")
+    void aLeaderRefusedAloneCancellationsAnOutageAndStartsOnTheirWay(@ForAll @IntRange(min = 1, max = 1000) int seed) {
+        SimulatedWorld world = working(seed, LONG);
+        String leader = world.leader();
+        world.cloud.workers().forEach(worker -> {
+            world.network.cut(leader, worker.address());
+            world.after(Duration.ofSeconds(5 + seed % 45), () -> world.network.heal(leader, worker.address()));
+        });
+        for (int i = 9; i < 12; i++) {
+            world.submit(i, "blue", Rank.HIGH, 1, 4, LONG);
+        }
+        world.run(seconds(0.8));
+        world.store.refuseFrom(leader, true);
+        cancelThrough(world, world.otherThan(leader), world.users().subList(3, 11));
+        world.run(seconds(1 + seed % 10 / 10.0));
+        assertThat(world.unfinished().size()).as("some are cancelled").isLessThan(world.users().size());
+        world.store.setDown(true);
+        endsWell(world, SimulatedWorld.CANCEL.plusSeconds(15));
+    }
+
     // A leader ends while machines with long tasks can't be reached, or don't hear the new leader's answer.
 
     @Property(tries = 6, seed = "121")
