--- a/src/test/java/org/gullway/MeetingsTest.java
+++ b/src/test/java/org/gullway/MeetingsTest.java
@@ -201,6 +201,24 @@
         endsWell(world, Duration.ofSeconds(45));
     }
 
+    // The state service answers slowly, or refuses the leader alone and then everybody for longer than the cancel limit,
+    // while users cancel and ask.
+
+    @Property(tries = 6, seed = "107")
+    void aSlowStateServiceThatRefusesTheLeaderAndThenEverybody(@ForAll @IntRange(min = 1, max = 1000) int seed) {
+        SimulatedWorld world = working(seed, LONG);
+        String leader = world.leader();
+        world.store.slow(700, world.random.split());
+        world.after(Duration.ofSeconds(5), () -> world.store.refuseFrom(leader, true));
+        outage(world, Duration.ofSeconds(9 + seed % 6), SimulatedWorld.CANCEL.plusSeconds(15));
+        for (int i = 0; i < 8; i++) {
+            User user = world.users().get(i);
+            world.after(seconds(2.5 * i), user::cancel);
+            world.after(seconds(2.5 * i + 0.3), user::askEverywhere);
+        }
+        endsWell(world, Duration.ofSeconds(75));
+    }
+
     // An old report arrives after newer ones, also from an earlier session or attempt.
 
     @Property(tries = 6, seed = "108")
