RED: MeetingsTest, best-effort jobs bound to one zone, or spread, lose machines

Breaks wrong_place, also before any trouble: BestEffortQueue.Pull plans a job's tasks one by one and each time asks Placing.take only about the tasks that are on record (JobRecord.live), not about those it has planned in the same round, so that tasks of one job go to several zones, or too many to one.

--- a/src/test/java/org/gullway/MeetingsTest.java
+++ b/src/test/java/org/gullway/MeetingsTest.java
@@ -178,6 +178,11 @@
         boundJobsLoseMachines(seed, List.of(Rank.PROD, Rank.HIGH));
     }
 
+    @Property(tries = 6, seed = "125")
+    void bestEffortJobsBoundToOneZoneLoseMachines(@ForAll @IntRange(min = 1, max = 1000) int seed) {
+        boundJobsLoseMachines(seed, List.of(Rank.NORMAL, Rank.IDLE));
+    }
+
     // A team is at its limit when the leader changes, some of its machines can't be asked, and a cancellation falls into
     // that spell.
 
