--- a/src/test/java/org/gullway/Trouble.java
+++ b/src/test/java/org/gullway/Trouble.java
@@ -117,6 +117,95 @@
         void strike(SimulatedWorld world, SplittableRandom random, Duration span) {
             world.network.copyLate(0.3, "/agent/beat", SimulatedWorld.LEASE.multipliedBy(3), world.userAddresses());
         }
+    },
+    /** Transactions get no answer and are carried out after newer ones. */
+    LATE_WRITES {
+        @Override
+        void strike(SimulatedWorld world, SplittableRandom random, Duration span) {
+            world.store.lateWrites(0.3, random.split());
+            world.after(span, () -> world.store.lateWrites(0, random));
+        }
+    },
+    STORE_SLOW {
+        @Override
+        void strike(SimulatedWorld world, SplittableRandom random, Duration span) {
+            world.store.slow(600, random.split());
+            world.after(span, () -> world.store.slow(0, random));
+        }
+    },
+    /** The state service refuses one controller alone. */
+    REFUSED_ALONE {
+        @Override
+        void strike(SimulatedWorld world, SplittableRandom random, Duration span) {
+            String node = node(world, random);
+            world.store.refuseFrom(node, true);
+            world.after(span, () -> world.store.refuseFrom(node, false));
+        }
+    },
+    /** It refuses the leader alone, jobs are cancelled meanwhile, and then it is out for longer than the cancel limit. */
+    REFUSED_THEN_DOWN {
+        @Override
+        void strike(SimulatedWorld world, SplittableRandom random, Duration span) {
+            String node = world.leader() == null ? node(world, random) : world.leader();
+            world.store.refuseFrom(node, true);
+            cancel(world, random, 0.4);
+            world.after(Duration.ofMillis(500 + random.nextInt(6000)), () -> {
+                world.store.setDown(true);
+                world.after(SimulatedWorld.CANCEL.plus(span), () -> {
+                    world.store.refuseFrom(node, false);
+                    world.store.setDown(false);
+                });
+            });
+        }
+    },
+    /** These machines reach no controller, while direct commands reach them. */
+    MACHINES_MUTE {
+        @Override
+        void strike(SimulatedWorld world, SplittableRandom random, Duration span) {
+            some(world, random, 3).forEach(worker -> {
+                world.network.mute(worker.name(), true);
+                world.after(span, () -> world.network.mute(worker.name(), false));
+            });
+        }
+    },
+    MACHINES_HANG {
+        @Override
+        void strike(SimulatedWorld world, SplittableRandom random, Duration span) {
+            some(world, random, 3).forEach(worker -> worker.hang(span));
+        }
+    },
+    /** Jobs are called off while some of their machines hang. */
+    CANCEL_AND_HANG {
+        @Override
+        void strike(SimulatedWorld world, SplittableRandom random, Duration span) {
+            cancel(world, random, 0.4);
+            some(world, random, 8).forEach(worker ->
+                    world.after(Duration.ofMillis(random.nextInt(200)), () -> worker.hang(span)));
+        }
+    },
+    /** Reports are held back and arrive at a leader that has acted meanwhile. */
+    REPORTS_HELD_BACK {
+        @Override
+        void strike(SimulatedWorld world, SplittableRandom random, Duration span) {
+            List<StandInWorker> held = some(world, random, 3);
+            held.forEach(worker -> world.network.holdBack(worker.name()));
+            if (world.leader() != null) {
+                world.crash(world.leader(), Duration.ofMillis(200 + random.nextInt(20_000)));
+            }
+            world.after(span, () -> held.forEach(worker -> world.network.release(worker.name(),
+                    world.address(world.leader() == null ? node(world, random) : world.leader()))));
+        }
+    },
+    /** Users repeat submissions, cancel jobs that are over, and send what can never run. */
+    ODD_REQUESTS {
+        @Override
+        void strike(SimulatedWorld world, SplittableRandom random, Duration span) {
+            int number = 100_000 + 2 * random.nextInt(400_000);
+            world.submitOdd(number);
+            world.users().forEach(SimulatedWorld.User::submitAgain);
+            world.users().stream().filter(SimulatedWorld.User::over).forEach(user ->
+                    user.cancelOnce(world.address(node(world, random)), () -> { }));
+        }
     };
 
     abstract void strike(SimulatedWorld world, SplittableRandom random, Duration span);
@@ -125,6 +214,15 @@
         return world.nodes().get(random.nextInt(world.nodes().size()));
     }
 
+    private static List<StandInWorker> some(SimulatedWorld world, SplittableRandom random, int most) {
+        List<StandInWorker> workers = world.cloud.workers();
+        return workers.stream().skip(random.nextInt(Math.max(1, workers.size()))).limit(1 + random.nextInt(most)).toList();
+    }
+
+    private static void cancel(SimulatedWorld world, SplittableRandom random, double share) {
+        world.users().stream().filter(user -> random.nextDouble() < share).forEach(SimulatedWorld.User::cancel);
+    }
+
     private static void cut(SimulatedWorld world, String from, String to, Duration span) {
         world.network.cut(from, to);
         world.after(span, () -> world.network.heal(from, to));
