--- /dev/null
+++ b/src/test/java/org/gullway/standin/StandInsTest.java
@@ -0,0 +1,249 @@
+package org.gullway.standin;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import com.fasterxml.jackson.databind.node.ObjectNode;
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Map;
+import java.util.SplittableRandom;
+import org.gullway.protocol.Cbor;
+import org.gullway.protocol.JobRequest;
+import org.gullway.protocol.Rank;
+import org.gullway.transport.Client;
+import org.gullway.transport.Reply;
+import org.junit.jupiter.api.Test;
+
+/** The troubles of the stand-ins are those of the protocol: schedules that use them rely on it. */
+class StandInsTest {
+    private static final String STATE = "10.2.0.1:2379";
+    private static final String MACHINE = "10.1.0.7:9000";
+    private static final String CONTROLLER = "10.0.0.1:8080";
+    private static final String OTHER = "10.0.0.2:8080";
+    private static final Duration LEASE = Duration.ofSeconds(20);
+    private final SimulatedTime time = new SimulatedTime();
+    private final SimulatedTime.Process loop = time.process();
+    private final SimulatedNetwork network = new SimulatedNetwork(time, new SplittableRandom(3), 0);
+    private final StandInStore store = new StandInStore(loop);
+    private final Client one = network.client("perch-0", loop);
+    private final Client two = network.client("perch-1", loop);
+    private final List<String> events = new ArrayList<>();
+    private int reports;
+    private long token = 1;
+
+    StandInsTest() {
+        network.listen(STATE, loop, store::handle);
+    }
+
+    private void run(double seconds) {
+        time.runUntil(time.now().plusMillis(Math.round(seconds * 1000)));
+    }
+
+    private List<Integer> call(Client client, Reply.Request request) {
+        List<Integer> statuses = new ArrayList<>();
+        client.call(STATE, request, reply -> statuses.add(reply.status()));
+        return statuses;
+    }
+
+    private List<Integer> put(Client client, int value) {
+        ObjectNode node = Cbor.map();
+        node.putArray("then").addObject().put("put", "a/b").put("v", value);
+        return call(client, Reply.Request.post("/commit", Cbor.encode(node), Duration.ofSeconds(3)));
+    }
+
+    private List<Integer> watch(Client client, long from, int wait) {
+        return call(client, Reply.Request.get("/watch?under=a/&from=" + from + "&block_ms=" + wait, Duration.ofMinutes(2)));
+    }
+
+    @Test
+    void oneClientIsRefusedAndItsWatchesWaitEvenBeyondTheirTime() {
+        List<Integer> own = watch(one, 0, 5000);
+        List<Integer> others = watch(two, 0, 5000);
+        run(0.1);
+        store.refuseFrom("perch-0", true);
+        assertThat(call(one, Reply.Request.get("/store/a/b", Duration.ofSeconds(2)))).isEmpty();
+        List<Integer> put = put(two, 1);
+        List<Integer> refused = put(one, 2);
+        run(30);
+        assertThat(put).containsExactly(200);
+        assertThat(refused).containsExactly(503);
+        assertThat(others).containsExactly(200);
+        assertThat(own).isEmpty();
+        store.refuseFrom("perch-0", false);
+        run(0.1);
+        assertThat(own).containsExactly(200);
+    }
+
+    @Test
+    void theLeaseOfTheRefusedClientRunsOut() {
+        call(one, Reply.Request.post("/grants", Cbor.encode(Cbor.map().put("life_ms", 3000)), Duration.ofSeconds(2)));
+        run(0.1);
+        store.refuseFrom("perch-0", true);
+        run(4);
+        store.refuseFrom("perch-0", false);
+        List<Integer> renewed = call(one, Reply.Request.post("/grants/1/renew", Cbor.encode(Cbor.map()),
+                Duration.ofSeconds(2)));
+        run(0.1);
+        assertThat(renewed).containsExactly(404);
+    }
+
+    @Test
+    void watchesStayOpenDuringAnOutage() {
+        List<Integer> watch = watch(one, 0, 2000);
+        run(0.1);
+        store.setDown(true);
+        run(10);
+        assertThat(watch).isEmpty();
+        store.setDown(false);
+        run(0.1);
+        assertThat(watch).containsExactly(200);
+    }
+
+    @Test
+    void aLateTransactionIsCarriedOutAfterANewerOne() {
+        store.lateWrites(1, new SplittableRandom(5));
+        List<Integer> late = put(one, 1);
+        run(0.1);
+        store.lateWrites(0, new SplittableRandom(5));
+        List<Integer> newer = put(one, 2);
+        run(1);
+        assertThat(newer).containsExactly(200);
+        assertThat(store.value("a/b").asInt()).isEqualTo(2);
+        run(12);
+        assertThat(late).as("no answer but the client's own limit").containsExactly(0);
+        assertThat(store.value("a/b").asInt()).isEqualTo(1);
+    }
+
+    @Test
+    void aSlowStoreAnswersLate() {
+        store.slow(800, new SplittableRandom(5));
+        List<Integer> statuses = new ArrayList<>();
+        for (int i = 0; i < 20; i++) {
+            two.call(STATE, Reply.Request.get("/store/a/b", Duration.ofSeconds(2)), reply -> statuses.add(reply.status()));
+        }
+        run(0.1);
+        assertThat(statuses).hasSizeLessThan(10);
+        run(1);
+        assertThat(statuses).hasSize(20).containsOnly(404);
+    }
+
+    /** A worker with one task of a minute, whose reports are answered under the present token. */
+    private StandInWorker working() {
+        StandInWorker.World world = new StandInWorker.World() {
+            @Override
+            public JobRequest describe(String job) {
+                return new JobRequest(job, "render", "red", JobRequest.Shape.ARRAY, Rank.HIGH, 2, 4, 0, 4, "img", 1, null,
+                        null, false, false, true, LEASE, Duration.ZERO, Duration.ZERO, null);
+            }
+
+            @Override
+            public Duration runTime(String job) {
+                return Duration.ofSeconds(60);
+            }
+
+            @Override
+            public boolean fails(String machine, String job) {
+                return false;
+            }
+
+            @Override
+            public boolean completed(String task) {
+                return false;
+            }
+
+            @Override
+            public void began(String machine, String task) {
+                events.add(task + " began");
+            }
+
+            @Override
+            public void ended(String machine, String task, boolean done) {
+                events.add(task + (done ? " done" : " stopped") + " at " + time.now().getEpochSecond());
+            }
+        };
+        network.listen(CONTROLLER, loop, call -> {
+            reports++;
+            call.answer(200, Cbor.encode(Cbor.map().put("baton", token)));
+        });
+        StandInWorker worker = new StandInWorker(loop, network.client("vm-000007", loop), world, new SplittableRandom(1),
+                "vm-000007", MACHINE, new StandInWorker.Kind("small", "a", true, 16), Map.of("perch-0", CONTROLLER),
+                Duration.ofSeconds(3), LEASE);
+        network.listen(MACHINE, loop, worker::handle);
+        command(1, "start", "run-000001/0");
+        run(1);
+        assertThat(events).containsExactly("run-000001/0 began");
+        return worker;
+    }
+
+    private List<Integer> command(long session, String verb, String task) {
+        ObjectNode node = Cbor.map().put("baton", token).put("flight", session);
+        node.putArray("calls").addObject().put("call", verb).put("leg", task).put("launch", 1);
+        List<Integer> statuses = new ArrayList<>();
+        one.call(MACHINE, Reply.Request.post("/do", Cbor.encode(node), Duration.ofSeconds(30)),
+                reply -> statuses.add(reply.status()));
+        return statuses;
+    }
+
+    @Test
+    void aMachineThatHangsWithinItsLeaseGoesOnWithItsTasksAndThenWithItsCommands() {
+        StandInWorker worker = working();
+        worker.hang(Duration.ofSeconds(12));
+        int before = reports;
+        List<Integer> start = command(1, "start", "run-000001/1");
+        run(11);
+        assertThat(reports).isEqualTo(before);
+        assertThat(start).isEmpty();
+        assertThat(events).hasSize(1);
+        run(2);
+        assertThat(start).containsExactly(200);
+        assertThat(reports).isGreaterThan(before);
+        run(70);
+        assertThat(events).containsExactly("run-000001/0 began", "run-000001/1 began", "run-000001/0 done at 72",
+                "run-000001/1 done at 73");
+    }
+
+    @Test
+    void aMachineThatHangsBeyondItsLeaseFirstEndsItsTasks() {
+        StandInWorker worker = working();
+        worker.hang(Duration.ofSeconds(25));
+        List<Integer> start = command(1, "start", "run-000001/1");
+        run(24);
+        assertThat(events).as("the task is still there").hasSize(1);
+        run(2);
+        assertThat(start).as("of the session before").containsExactly(409);
+        assertThat(events).containsExactly("run-000001/0 began", "run-000001/0 stopped at 26");
+        assertThat(command(2, "start", "run-000001/1")).isEmpty();
+        run(1);
+        assertThat(events).hasSize(3);
+    }
+
+    @Test
+    void aMuteMachineReachesNobodyAndCanBeCommanded() {
+        working();
+        network.mute("vm-000007", true);
+        int before = reports;
+        List<Integer> stop = command(1, "halt", "run-000001/0");
+        run(8);
+        assertThat(reports).isEqualTo(before);
+        assertThat(stop).containsExactly(200);
+        List<Integer> inspected = new ArrayList<>();
+        one.call(MACHINE, Reply.Request.get("/inspect", Duration.ofSeconds(2)), reply -> inspected.add(reply.status()));
+        run(1);
+        assertThat(inspected).containsExactly(200);
+    }
+
+    @Test
+    void reportsThatWereHeldBackArriveElsewhere() {
+        working();
+        int[] arrived = new int[1];
+        network.listen(OTHER, loop, call -> arrived[0]++);
+        network.holdBack("vm-000007");
+        int before = reports;
+        run(15);
+        assertThat(reports).isEqualTo(before);
+        network.release("vm-000007", OTHER);
+        run(0.2);
+        assertThat(arrived[0]).isBetween(2, 5);
+    }
+}
