--- a/src/test/java/org/gullway/SimulatedDaysTest.java
+++ b/src/test/java/org/gullway/SimulatedDaysTest.java
@@ -3,15 +3,31 @@
 import static org.assertj.core.api.Assertions.assertThat;
 
 import java.time.Duration;
+import java.util.List;
 import java.util.SplittableRandom;
 import net.jqwik.api.ForAll;
 import net.jqwik.api.Property;
 import net.jqwik.api.constraints.LongRange;
+import org.gullway.SimulatedWorld.Bounds;
 import org.gullway.protocol.Rank;
 import org.junit.jupiter.api.Test;
 
 /** Whole days in virtual time: whatever fails, the rules hold, and afterwards all work gets done. */
 class SimulatedDaysTest {
+    private static final List<Bounds> BOUNDS = List.of(Bounds.in("a"), Bounds.in("b"), Bounds.ONE_ZONE, Bounds.SPREAD,
+            new Bounds(List.of("large"), null, true, false, false), new Bounds(List.of("small"), null, false, true, true));
+
+    /** Jobs that may be in one zone only, or spread over both. */
+    private static void boundWork(SimulatedWorld world, SplittableRandom random, int first, int jobs, Duration span) {
+        for (int i = first; i < first + jobs; i++) {
+            int number = i;
+            world.after(Duration.ofMillis(random.nextLong(span.toMillis())), () ->
+                    world.submit(number, random.nextBoolean() ? "red" : "blue", Rank.values()[random.nextInt(4)],
+                            1 + random.nextInt(7), random.nextBoolean() ? 4 : 8,
+                            Duration.ofMillis(1000 + random.nextInt(20_000)), BOUNDS.get(random.nextInt(BOUNDS.size()))));
+        }
+    }
+
     static void work(SimulatedWorld world, SplittableRandom random, int jobs, Duration span) {
         for (int i = 1; i <= jobs; i++) {
             int number = i;
@@ -61,11 +77,7 @@
         assertThat(world.started()).isEqualTo(before).isEqualTo(6);
     }
 
-    @Property(tries = 40, seed = "20261120")
-    void theRulesHoldOnRoughDays(@ForAll @LongRange(min = 0, max = 1L << 40) long seed) {
-        SplittableRandom random = new SplittableRandom(seed);
-        SimulatedWorld world = new SimulatedWorld(random.nextLong(), 0.01, 3);
-        work(world, random.split(), 25, Duration.ofSeconds(120));
+    private static void roughDay(long seed, SimulatedWorld world, SplittableRandom random) {
         int troubles = 2 + random.nextInt(5);
         for (int i = 0; i < troubles; i++) {
             Duration span = Duration.ofMillis(500 + random.nextInt(30_000));
@@ -83,4 +95,21 @@
         assertThat(world.broken).as("seed %d", seed).isEmpty();
         assertThat(world.unfinished()).as("seed %d", seed).isEmpty();
     }
+
+    @Property(tries = 40, seed = "20261120")
+    void theRulesHoldOnRoughDays(@ForAll @LongRange(min = 0, max = 1L << 40) long seed) {
+        SplittableRandom random = new SplittableRandom(seed);
+        SimulatedWorld world = new SimulatedWorld(random.nextLong(), 0.01, 3);
+        work(world, random.split(), 25, Duration.ofSeconds(120));
+        roughDay(seed, world, random);
+    }
+
+    @Property(tries = 20, seed = "20261202")
+    void theRulesHoldForBoundJobsOnRoughDays(@ForAll @LongRange(min = 0, max = 1L << 40) long seed) {
+        SplittableRandom random = new SplittableRandom(seed);
+        SimulatedWorld world = new SimulatedWorld(random.nextLong(), 0.01, 3);
+        work(world, random.split(), 10, Duration.ofSeconds(120));
+        boundWork(world, random.split(), 11, 15, Duration.ofSeconds(120));
+        roughDay(seed, world, random);
+    }
 }
