--- a/src/test/java/org/gullway/SimulatedWorld.java
+++ b/src/test/java/org/gullway/SimulatedWorld.java
@@ -124,7 +124,11 @@
         }
 
         private void poll() {
-            ask(node());
+            if (over()) {
+                askEverywhere();
+            } else {
+                ask(node());
+            }
             world.after(Duration.ofSeconds(over() ? 25 : 5), this::poll);
         }
 
