A machine whose lease runs out while it answers commands takes no tasks

Cause: an answer to a command counted as a sign of life, so a machine whose reports reach nobody (mute) stayed in use: it was given tasks, lost all of them at the end of each lease, and was given the next. An answer that brings a newer session shows it; until a report comes it takes none, and without commands it falls silent and is returned. Excluded: silence by reports alone, since after restarts reports come late while commands are answered.

--- a/src/main/java/org/gullway/coordination/MachineControl.java
+++ b/src/main/java/org/gullway/coordination/MachineControl.java
@@ -157,7 +157,7 @@
         Worker worker = workers.get(report.machine());
         MachineRecord record = view.machine(report.machine());
         if (worker != null && record != null) {
-            worker.take(report, now);
+            worker.takeAnswer(report, now);
             if (report.session() > record.session()) {
                 newSessions.add(report.machine());
             }
@@ -507,7 +507,7 @@
         for (Map.Entry<String, Worker> entry : workers.entrySet()) {
             MachineRecord record = view.machine(entry.getKey());
             Worker worker = entry.getValue();
-            if (worker.deafSince() == null && worker.heard().isAfter(recent) && commands(record, worker)
+            if (worker.deafSince() == null && !worker.mute() && worker.heard().isAfter(recent) && commands(record, worker)
                     && record.takesTasks() && worker.fenced(record)) {
                 ready.add(record);
             }
--- a/src/main/java/org/gullway/coordination/SilentMachines.java
+++ b/src/main/java/org/gullway/coordination/SilentMachines.java
@@ -12,8 +12,8 @@
 import org.slf4j.LoggerFactory;
 
 /**
- * What silence says about the machines that this controller commands: one that has missed a report, or
- * leaves commands without an answer, takes no more tasks until it is heard again; one that stays so is given up. Until
+ * What silence says about the machines that this controller commands: one that has missed a report, has lost a lease
+ * while it answered commands, or leaves commands without an answer, takes no more tasks until it is heard again; one that stays so is given up. Until
  * then the leader would book urgent tasks there, which wait until the machine is returned.
  */
 final class SilentMachines {
@@ -80,8 +80,9 @@
             if (record == null || !record.up() || !self.equals(record.controller())) {
                 continue;
             }
-            boolean heard = worker.deafSince() == null && !worker.reported().isBefore(late);
-            if (record.fate() == Fate.STAYS && lostSince(worker).isBefore(worker.deafSince() == null ? late : deaf)) {
+            boolean heard = worker.deafSince() == null && !worker.mute() && !worker.reported().isBefore(late);
+            if (record.fate() == Fate.STAYS && (worker.mute()
+                    || lostSince(worker).isBefore(worker.deafSince() == null ? late : deaf))) {
                 mean(draft, record, Fate.SILENT);
             } else if (record.fate() == Fate.SILENT && heard) {
                 mean(draft, record, Fate.STAYS);
--- a/src/main/java/org/gullway/coordination/Worker.java
+++ b/src/main/java/org/gullway/coordination/Worker.java
@@ -31,6 +31,7 @@
     private Instant quietUntil = Instant.MIN;
     /** Since when commands have had no answer; reports alone do not show that the machine hears. */
     private Instant deafSince;
+    private boolean mute;
     private Instant askedAt = Instant.MIN;
     private Instant lookAt = Instant.MIN;
     /** When the worker first came here although another controller commands its machine. */
@@ -46,8 +47,27 @@
         this.heard = heard;
     }
 
-    /** Takes a message of the worker; false if a newer one is known, and then nothing has changed. */
+    /** Takes a report; false if a newer message is known, and then nothing has changed. */
     boolean take(WorkerReport report, Instant now) {
+        mute &= newest != null && !report.newerThan(newest.session(), newest.sequence());
+        return takeMessage(report, now);
+    }
+
+    /**
+     * Takes the answer to a command. If it brings a newer session, the worker's lease has run out although commands
+     * reach it: its reports reach nobody, and whatever is placed there would end with the next lease.
+     */
+    void takeAnswer(WorkerReport answer, Instant now) {
+        mute |= newest != null && answer.session() > newest.session();
+        takeMessage(answer, now);
+    }
+
+    /** Whether a lease has run out since the last report, while commands were answered. */
+    boolean mute() {
+        return mute;
+    }
+
+    private boolean takeMessage(WorkerReport report, Instant now) {
         if (newest != null && !report.newerThan(newest.session(), newest.sequence())) {
             return false;
         }
--- a/src/test/java/org/gullway/MeetingsTest.java
+++ b/src/test/java/org/gullway/MeetingsTest.java
@@ -366,7 +366,15 @@
                 world.crash(world.otherThan(leader), Duration.ofSeconds(seed % 60))));
     }
 
-    /** They hang for less than the cancel limit: during an outage nobody but their leases can end what is on them. */
+    /** Only the cloud can end what is on them, and whoever knows of the cancellations returns them in time. */
+    @Property(tries = 6, seed = "126")
+    void aLeaderRefusedAloneCancellationsAnOutageAndMachinesThatHangBeyondTheLimit(
+            @ForAll @IntRange(min = 1, max = 1000) int seed) {
+        gap(seed, (world, leader) -> world.cloud.workers().stream().limit(4).forEach(worker ->
+                world.after(Duration.ofMillis(150 + seed % 300), () -> worker.hang(SimulatedWorld.CANCEL.plusSeconds(20)))));
+    }
+
+    /** They go on within the limit: what is on them ends with their leases, or is stopped. */
     @Property(tries = 6, seed = "118")
     void aLeaderRefusedAloneCancellationsAnOutageAndMachinesThatHang(@ForAll @IntRange(min = 1, max = 1000) int seed) {
         gap(seed, (world, leader) -> world.cloud.workers().stream().limit(4).forEach(worker ->
--- a/src/test/java/org/gullway/coordination/SilentMachinesTest.java
+++ b/src/test/java/org/gullway/coordination/SilentMachinesTest.java
@@ -149,4 +149,31 @@
         pass(4, "vm-1");
         assertThat(fate("vm-2")).isEqualTo(Fate.SILENT);
     }
+
+    /** Its commands are answered, so it is not silent; but no lease is renewed, and all that is placed there is lost. */
+    @Test
+    void aMachineWhoseReportsReachNobodyTakesNoTasks() {
+        machine("vm-1", "a");
+        machine("vm-2", "a");
+        pass(8, "vm-1", "vm-2");
+        workers.get("vm-2").takeAnswer(report("vm-2", 1), now);
+        pass(1, "vm-1");
+        assertThat(fate("vm-2")).isEqualTo(Fate.STAYS);
+        workers.get("vm-2").takeAnswer(report("vm-2", 2), now);
+        pass(1, "vm-1");
+        assertThat(fate("vm-2")).isEqualTo(Fate.SILENT);
+        workers.get("vm-2").takeAnswer(report("vm-2", 2), now);
+        pass(1, "vm-1");
+        assertThat(fate("vm-2")).as("answers do not show that it reaches anybody").isEqualTo(Fate.SILENT);
+        workers.get("vm-2").take(new WorkerReport("vm-2", "10.1.0.1:9000", "large", "a", false, 1, 1, 1, null, List.of()), now);
+        pass(1, "vm-1");
+        assertThat(fate("vm-2")).as("nor does an old copy").isEqualTo(Fate.SILENT);
+        workers.get("vm-2").take(report("vm-2", 2), now);
+        pass(1, "vm-1");
+        assertThat(fate("vm-2")).isEqualTo(Fate.STAYS);
+    }
+
+    private WorkerReport report(String name, long session) {
+        return new WorkerReport(name, "10.1.0.1:9000", "large", "a", false, session, ++sequence, 1, null, List.of());
+    }
 }
