Jobs that fail on every machine do not get good machines returned

Cause: a machine counts as faulty after errors of two jobs with no success between; two jobs that were submitted with a mistake were enough, wherever they ran. Change: a job that has failed on three machines here and has completed nothing says nothing of them, also after its user has cancelled it. Two others that fail on one machine alone still do. Seen to fail without the change (MachineControlTest.jobsThatFailEverywhereDoNotMakeMachinesFaulty).

--- a/src/main/java/org/gullway/coordination/MachineControl.java
+++ b/src/main/java/org/gullway/coordination/MachineControl.java
@@ -37,6 +37,8 @@
     private static final Duration NOTICE_MARGIN = Duration.ofSeconds(1);
     private static final Duration ERROR_WINDOW = Duration.ofMinutes(2);
     private static final int ERRORS_OF_JOBS = 2;
+    /** A job that failed on so many machines here and has completed nothing fails by itself, not by the machines. */
+    private static final int MACHINES_OF_A_FAILING_JOB = 3;
     /** Every worker reports once more when the epoch has risen, so starts without an answer are settled together. */
     private static final Duration RAISE_PAUSE = Duration.ofSeconds(1);
     /** Commands on their way at a time; the rest has its turn when answers come in. */
@@ -56,6 +58,8 @@
     /** Groups of a controller that some of their workers cannot reach. */
     private final Set<String> strayGroups = new HashSet<>();
     private final Map<String, List<EndNotice>> notices = new TreeMap<>();
+    /** Jobs that have failed lately here, and whether they do so on every machine. */
+    private final Map<String, Boolean> failingJobs = new HashMap<>();
     private int pushing;
     private Instant raisedAt = Instant.MIN;
 
@@ -371,6 +375,7 @@
     public void propose(Draft draft, Instant now) {
         claim(draft);
         recordSessions(draft);
+        noteFailingJobs(now);
         boolean raise = false;
         for (Map.Entry<String, Worker> entry : workers.entrySet()) {
             Worker worker = entry.getValue();
@@ -384,7 +389,7 @@
             raise |= worker.openBelow() >= draft.epoch();
             beforeTaken(draft, record, worker, now);
             if (draft.machine(entry.getKey()).fate() == Fate.STAYS && draft.canPutMachine(record.name())
-                    && (worker.noticeEnd() != null || worker.failedLately(now, ERROR_WINDOW).size() >= ERRORS_OF_JOBS)) {
+                    && (worker.noticeEnd() != null || isFaulty(worker, now))) {
                 draft.putMachine(record.meant(Fate.LEAVING));
             }
         }
@@ -426,6 +431,29 @@
         return task == null || task.ended();
     }
 
+    /** Jobs that were submitted with a mistake fail on every machine until they are cancelled; that says nothing of those. */
+    private void noteFailingJobs(Instant now) {
+        Map<String, Integer> machinesOf = new HashMap<>();
+        for (Worker worker : workers.values()) {
+            if (!worker.failedJobsNone()) {
+                worker.failedLately(now, ERROR_WINDOW).forEach(job -> machinesOf.merge(job, 1, Integer::sum));
+            }
+        }
+        // What was found stays, while any machine remembers the job: its record may end before.
+        failingJobs.keySet().retainAll(machinesOf.keySet());
+        machinesOf.forEach((id, machines) -> {
+            JobRecord job = view.job(id);
+            if (job != null) {
+                failingJobs.put(id, machines >= MACHINES_OF_A_FAILING_JOB && job.done().size() == 0);
+            }
+        });
+    }
+
+    private boolean isFaulty(Worker worker, Instant now) {
+        return worker.failedLately(now, ERROR_WINDOW).stream().filter(job -> !failingJobs.getOrDefault(job, false)).count()
+                >= ERRORS_OF_JOBS;
+    }
+
     /**
      * Before the cloud takes a machine away, tasks that can save are stopped in time to do so; at the end the machine
      * is returned without waiting for its silence to be noticed.
--- a/src/test/java/org/gullway/coordination/MachineControlTest.java
+++ b/src/test/java/org/gullway/coordination/MachineControlTest.java
@@ -294,4 +294,46 @@
         control.propose(draft, now);
         assertThat(draft.machine("vm-1").fate()).isEqualTo(MachineRecord.Fate.STAYS);
     }
+
+    /** Two jobs with a mistake fail on all machines; two others that fail on one machine alone show that it is faulty. */
+    @Test
+    void jobsThatFailEverywhereDoNotMakeMachinesFaulty() {
+        for (int m = 1; m <= 3; m++) {
+            Samples.put(view, Samples.machine("vm-" + m, "large", Samples.SELF), 9 + m);
+        }
+        for (int j = 1; j <= 2; j++) {
+            String id = "run-00000" + j;
+            view.put(Keys.job(id), Samples.placed(JobRecord.accepted(Samples.request(id, "red", Rank.NORMAL, 6, 4), "perch-0",
+                    Samples.DAY), Samples.DAY, "vm-1", "vm-2", "vm-3"), ++revision);
+        }
+        view.watchedTo(revision);
+        for (int m = 1; m <= 3; m++) {
+            fail("vm-" + m, m - 1, "run-000001", "run-000002");
+        }
+        propose();
+        assertThat(view.machines()).extracting(MachineRecord::fate).containsOnly(MachineRecord.Fate.STAYS);
+        // Their users cancel them; what was found out stays.
+        view.remove(Keys.job("run-000001"), ++revision);
+        view.remove(Keys.job("run-000002"), ++revision);
+        view.watchedTo(revision);
+        propose();
+        assertThat(view.machines()).extracting(MachineRecord::fate).containsOnly(MachineRecord.Fate.STAYS);
+        for (int j = 3; j <= 4; j++) {
+            String id = "run-00000" + j;
+            view.put(Keys.job(id), Samples.placed(JobRecord.accepted(Samples.request(id, "red", Rank.NORMAL, 6, 4), "perch-0",
+                    Samples.DAY), Samples.DAY, "vm-2"), ++revision);
+        }
+        view.watchedTo(revision);
+        fail("vm-2", 0, "run-000003", "run-000004");
+        propose();
+        assertThat(view.machine("vm-2").fate()).isEqualTo(MachineRecord.Fate.LEAVING);
+        assertThat(view.machine("vm-1").fate()).isEqualTo(MachineRecord.Fate.STAYS);
+    }
+
+    private void fail(String machine, int task, String... jobs) {
+        List<TaskReport> tasks = java.util.stream.Stream.of(jobs).map(job ->
+                new TaskReport(new TaskId(job, task), task + 1, Phase.ENDED, Cause.ERROR, false)).toList();
+        control.report(new WorkerReport(machine, "10.1.0.1:9000", "large", "a", true, 1, ++sequence, 1, null, tasks), now);
+        control.pushes(now);
+    }
 }
