--- a/src/main/java/org/gullway/coordination/FleetPlan.java
+++ b/src/main/java/org/gullway/coordination/FleetPlan.java
@@ -15,6 +15,7 @@
 import org.gullway.protocol.CloudMessages;
 import org.gullway.protocol.JobRequest;
 import org.gullway.protocol.MachineType;
+import org.gullway.protocol.Rank;
 import org.gullway.protocol.Settings;
 
 /**
@@ -173,7 +174,7 @@
         JobRequest sample = null;
         double reservedUse = 0;
         Allowance allowance = new Allowance();
-        for (JobRecord job : view.jobs()) {
+        for (JobRecord job : byNeed()) {
             JobRequest request = job.request();
             if (job.reserved() && !job.cancelled()) {
                 sample = request;
@@ -199,13 +200,20 @@
         return rentals;
     }
 
+    /** Urgent work first, then small jobs: one huge array must not use up what one look lays out. */
+    private List<JobRecord> byNeed() {
+        List<JobRecord> jobs = new ArrayList<>(view.jobs());
+        jobs.sort(Comparator.<JobRecord, Rank>comparing(job -> job.request().rank()).thenComparingInt(JobRecord::waiting));
+        return jobs;
+    }
+
     /** What may still be placed: within a job's share of its team's limit, and what of the limit no share holds. */
     private final class Allowance {
         private final Map<String, Double> byShare = new HashMap<>();
         private final Map<String, Double> byTeam = new HashMap<>();
 
         Allowance() {
-            placing.teams().forEach(team -> byTeam.put(team.name(), Math.max(0, team.cpusMax()
+            placing.teams().forEach(team -> byTeam.put(team.name(), Math.max(0, team.cpusLimit()
                     - view.shares().values().stream().mapToDouble(share -> share.of(team.name()).cpus()).sum())));
         }
 
--- a/src/main/java/org/gullway/coordination/Placing.java
+++ b/src/main/java/org/gullway/coordination/Placing.java
@@ -44,8 +44,8 @@
         Settings.Team team = teams.get(job.team());
         // An array needs its limit for one task at a time, everything else for all of its tasks.
         int together = job.shape() == JobRequest.Shape.ARRAY ? 1 : job.tasks();
-        return team != null && together * job.cpus() <= team.cpusMax() + EPSILON
-                && together * job.cards() <= team.cardsMax() + EPSILON
+        return team != null && together * job.cpus() <= team.cpusLimit() + EPSILON
+                && together * job.cards() <= team.cardsLimit() + EPSILON
                 && types.values().stream().anyMatch(type -> type.fits(job) && type.allowedFor(job)
                 && (job.zone() == null || type.zones().contains(job.zone())));
     }
--- a/src/main/java/org/gullway/coordination/Shares.java
+++ b/src/main/java/org/gullway/coordination/Shares.java
@@ -117,7 +117,7 @@
 
     private double wanted(Draft draft, String share, Settings.Team team, Map<String, Map<String, double[]>> needs,
                           int dimension, boolean mayLower, Instant now) {
-        double limit = dimension == 0 ? team.cpusMax() : team.cardsMax();
+        double limit = dimension == 0 ? team.cpusLimit() : team.cardsLimit();
         double cap = part(draft.share(share), team.name(), dimension);
         double need = need(needs, share, team.name(), dimension);
         double sum = cap;
--- a/src/main/java/org/gullway/protocol/Settings.java
+++ b/src/main/java/org/gullway/protocol/Settings.java
@@ -39,8 +39,18 @@
     public record Peer(String name, String zone, String address) {
     }
 
-    /** A team with its guarantee and its limit; 0 means none. */
+    /** A team with its guarantee and its limit; 0 means none: a team may be without a guarantee, and without a limit. */
     public record Team(String name, double cpus, double cpusMax, double cards, double cardsMax) {
+        /** More than any fleet has, and still a number that shares can be reckoned with. */
+        private static final double UNLIMITED = 1e7;
+
+        public double cpusLimit() {
+            return cpusMax == 0 ? UNLIMITED : cpusMax;
+        }
+
+        public double cardsLimit() {
+            return cardsMax == 0 ? UNLIMITED : cardsMax;
+        }
     }
 
     /** An aim for one class of jobs; {@code within} is null where the aim has none. */
--- a/src/test/java/org/gullway/TroublesTest.java
+++ b/src/test/java/org/gullway/TroublesTest.java
@@ -3,11 +3,14 @@
 import static org.assertj.core.api.Assertions.assertThat;
 
 import java.time.Duration;
+import java.util.HashMap;
 import java.util.List;
+import java.util.Map;
 import net.jqwik.api.ForAll;
 import net.jqwik.api.Property;
 import net.jqwik.api.constraints.IntRange;
 import org.gullway.protocol.Rank;
+import org.gullway.protocol.Settings;
 import org.gullway.standin.StandInWorker;
 
 /** One trouble each in its hard sequence, with fixed seeds; the generated days mix them. */
@@ -149,4 +152,32 @@
         }
         assertThat(large.stream().filter(SimulatedWorld.User::over).count()).isGreaterThanOrEqualTo(3);
     }
+
+    /**
+     * A team that has neither a guarantee nor a limit comes with a huge array, many tiny jobs and idle work: all of it
+     * gets done, and the others' jobs are served beside it.
+     */
+    @Property(tries = 3, seed = "28")
+    void aGuestTeamNeitherStarvesOthersNorIsStarved(@ForAll @IntRange(min = 1, max = 1000) int seed) {
+        Map<String, Settings.Team> teams = new HashMap<>(SimulatedWorld.Shape.SMALL_TEAMS);
+        teams.put("guest", new Settings.Team("guest", 0, 0, 0, 0));
+        SimulatedWorld world = new SimulatedWorld(seed, new SimulatedWorld.Shape(3, teams, Duration.ofSeconds(3), 0));
+        world.submit(1, "guest", Rank.IDLE, 600, 1, Duration.ofSeconds(4));
+        world.submit(2, "guest", Rank.IDLE, 20, 8, Duration.ofSeconds(40));
+        for (int i = 10; i < 100; i++) {
+            int number = i;
+            world.after(Duration.ofMillis(300L * i), () -> world.submit(number, "guest", Rank.IDLE, 1, 1, Duration.ofSeconds(5)));
+        }
+        for (int i = 200; i < 230; i++) {
+            int number = i;
+            world.after(Duration.ofSeconds(2L * (i - 200)), () -> world.submit(number, number % 2 == 0 ? "red" : "blue", number % 3 == 0 ? Rank.NORMAL
+                    : Rank.HIGH, 2, 4, Duration.ofSeconds(8)));
+        }
+        world.run(Duration.ofSeconds(75));
+        List<SimulatedWorld.User> residents = world.users().stream().filter(u -> !u.request.team().equals("guest")).toList();
+        assertThat(residents).hasSize(30);
+        assertThat(residents).allSatisfy(user -> assertThat(user.waited()).isNotNull().isLessThan(Duration.ofSeconds(40)));
+        world.calm();
+        finishes(world, Duration.ofSeconds(300));
+    }
 }
