Idle work takes what is left over and makes way for best-effort work of a higher rank

Change: an idle task starts only while no best-effort job of a higher rank waits that its share would let run, and not on half as much room as urgent work uses; the leader stops idle tasks for such jobs. Nothing changes where no idle work is.

--- a/src/main/java/org/gullway/Controller.java
+++ b/src/main/java/org/gullway/Controller.java
@@ -20,6 +20,7 @@
 import org.gullway.coordination.Draft;
 import org.gullway.coordination.EndedAttempts;
 import org.gullway.coordination.FleetPlan;
+import org.gullway.coordination.IdleWork;
 import org.gullway.coordination.Incarnation;
 import org.gullway.coordination.JobPauses;
 import org.gullway.coordination.Keys;
@@ -80,6 +81,7 @@
     private final LeaseKeeper leases;
     private final Shares shares;
     private final ReservedBooking booking;
+    private final IdleWork idle;
     private final BestEffortQueue queue;
     private final Repair repair;
     private final FleetPlan fleet;
@@ -127,8 +129,9 @@
         this.leases = new LeaseKeeper(view, self, cancelled, settings.cancelLimit(), settings.workerLease());
         this.horizon = new CancellationHorizon(view, zones.keySet());
         Urgency urgency = new Urgency(settings.objectives());
+        this.idle = new IdleWork(view, placing, pauses, urgency, operator.spareShare());
         this.booking = new ReservedBooking(view, placing, pauses, urgency);
-        this.queue = new BestEffortQueue(view, placing, pauses, urgency, self.node(), report, random.split());
+        this.queue = new BestEffortQueue(view, placing, pauses, urgency, idle, self.node(), report, random.split());
         this.repair = new Repair(view, placing, self.node(), random.split());
         List<String> nodes = new ArrayList<>(settings.peers().stream().map(Settings.Peer::name).toList());
         nodes.add(self.node());
@@ -160,6 +163,7 @@
                 .add("repair", () -> repair.propose(draft, leads(), loop.now()))
                 .add("arrivals", () -> ifLeading(() -> cloud.propose(draft, draft.timeOfDay())))
                 .add("booking", () -> ifLeading(() -> booking.propose(draft, loop.now())))
+                .add("idle work", () -> ifLeading(() -> idle.propose(draft, loop.now())))
                 .add("queue", () -> queue.propose(draft, () -> machines.ready(loop.now()), loop.now()).forEach(this::send))
                 .add("ends", () -> ended.propose(draft, ledger.plenty(), loop.now()))
                 .add("fleet", () -> ifLeading(() -> fleet.propose(draft, loop.now(), draft.timeOfDay())));
--- a/src/main/java/org/gullway/coordination/BestEffortQueue.java
+++ b/src/main/java/org/gullway/coordination/BestEffortQueue.java
@@ -31,6 +31,7 @@
     private final Placing placing;
     private final JobPauses pauses;
     private final Urgency urgency;
+    private final IdleWork idle;
     private final String self;
     private final Duration offerLife;
     private final RandomGenerator random;
@@ -88,12 +89,13 @@
         }
     }
 
-    public BestEffortQueue(ClusterView view, Placing placing, JobPauses pauses, Urgency urgency, String self,
-                           Duration offerLife, RandomGenerator random) {
+    public BestEffortQueue(ClusterView view, Placing placing, JobPauses pauses, Urgency urgency, IdleWork idle,
+                           String self, Duration offerLife, RandomGenerator random) {
         this.view = view;
         this.placing = placing;
         this.pauses = pauses;
         this.urgency = urgency;
+        this.idle = idle;
         this.self = self;
         this.offerLife = offerLife;
         this.random = random;
@@ -138,7 +140,7 @@
         }
         foreign.clear();
         room.keySet().removeIf(machine -> view.closed().contains(machine.name()));
-        fillAll(draft, room, mine);
+        fillAll(draft, room, mine, now);
         if (!offering) {
             // Offers of peers are passed on at once; their rate was decided where they began.
             room.values().removeIf(offer -> offer.askedAlready().isEmpty());
@@ -148,7 +150,7 @@
         return othersWait ? offers(draft, room) : List.of();
     }
 
-    private void fillAll(Draft draft, Map<MachineRecord, Offer> room, List<JobRecord> mine) {
+    private void fillAll(Draft draft, Map<MachineRecord, Offer> room, List<JobRecord> mine, Instant now) {
         if (mine.isEmpty()) {
             return;
         }
@@ -156,8 +158,8 @@
         List<JobRecord> stalled = mine.stream().filter(job -> job.stalledAt(draft.timeOfDay()))
                 .sorted(JobRecord.STALLED_ORDER).toList();
         Set<String> held = beginOneByOne(draft, room, stalled);
-        List<JobRecord> others = held.isEmpty() ? mine
-                : mine.stream().filter(job -> !held.contains(job.request().team())).toList();
+        List<JobRecord> others = mine.stream()
+                .filter(job -> !IdleWork.isIdle(job) && !held.contains(job.request().team())).toList();
         // A team within its guarantee need not wait for others: its jobs have their turns first.
         Guarantees guarantees = Guarantees.of(view, placing);
         Predicate<JobRecord> late = job -> urgency.tooLate(job, draft.timeOfDay());
@@ -165,6 +167,16 @@
                 Integer.MAX_VALUE);
         fill(draft, room.keySet(), others.stream().filter(late.negate()).toList(), Integer.MAX_VALUE);
         fill(draft, room.keySet(), others, Integer.MAX_VALUE);
+        fillIdle(draft, room.keySet(), mine, now);
+    }
+
+    /** Idle work comes last, teams in equal turns as before, and only on room that is left over. */
+    private void fillIdle(Draft draft, Collection<MachineRecord> room, List<JobRecord> mine, Instant now) {
+        List<JobRecord> jobs = mine.stream().filter(IdleWork::isIdle).toList();
+        if (jobs.isEmpty() || room.isEmpty()) {
+            return;
+        }
+        fill(draft, room, jobs, Integer.MAX_VALUE, new Allowed(idle.room(draft, now)));
     }
 
     /**
@@ -198,6 +210,27 @@
 
     /** Starts tasks in equal turns of the teams until nothing more fits, at most so many of each job. */
     private void fill(Draft draft, Collection<MachineRecord> room, List<JobRecord> jobs, int mostEach) {
+        fill(draft, room, jobs, mostEach, new Allowed(Double.MAX_VALUE));
+    }
+
+    /** Processors that may still be taken. */
+    private static final class Allowed {
+        private double cpus;
+
+        Allowed(double cpus) {
+            this.cpus = cpus;
+        }
+
+        boolean fits(JobRecord job) {
+            return job.request().cpus() <= cpus;
+        }
+
+        void take(JobRecord job) {
+            cpus -= job.request().cpus();
+        }
+    }
+
+    private void fill(Draft draft, Collection<MachineRecord> room, List<JobRecord> jobs, int mostEach, Allowed allowed) {
         Map<String, Deque<JobRecord>> waiting = new TreeMap<>();
         for (JobRecord known : jobs) {
             JobRecord job = draft.job(known.request().id());
@@ -211,7 +244,7 @@
         while (any) {
             any = false;
             for (String team : List.copyOf(turns)) {
-                if (turn(draft, room, waiting.get(team), pulls, mostEach)) {
+                if (turn(draft, room, waiting.get(team), pulls, mostEach, allowed)) {
                     any = true;
                     turns.remove(team);
                     turns.add(team);
@@ -222,11 +255,12 @@
 
     /** One team's turn: one task of its first job that fits. */
     private boolean turn(Draft draft, Collection<MachineRecord> room, Deque<JobRecord> jobs, Map<String, Pull> pulls,
-                         int mostEach) {
+                         int mostEach, Allowed allowed) {
         while (jobs != null && !jobs.isEmpty()) {
             JobRecord job = jobs.peek();
             Pull pull = pulls.computeIfAbsent(job.request().id(), id -> new Pull(job, draft, room, mostEach));
-            if (pull.pull()) {
+            if (allowed.fits(job) && pull.pull()) {
+                allowed.take(job);
                 return true;
             }
             if (!pull.planned.isEmpty()) {
--- a/src/test/java/org/gullway/coordination/BestEffortQueueTest.java
+++ b/src/test/java/org/gullway/coordination/BestEffortQueueTest.java
@@ -17,7 +17,8 @@
     private final ClusterView view = Samples.view();
     private final Urgency urgency = new Urgency(List.of(
             new Settings.Objective("finished", "render", Duration.ofSeconds(80))));
-    private final BestEffortQueue queue = new BestEffortQueue(view, Samples.placing(), new JobPauses(), urgency,
+    private final IdleWork idle = new IdleWork(view, Samples.placing(), new JobPauses(), urgency, 0.5);
+    private final BestEffortQueue queue = new BestEffortQueue(view, Samples.placing(), new JobPauses(), urgency, idle,
             "perch-0", Duration.ofSeconds(3), new SplittableRandom(1));
     private final MachineRecord machine = Samples.machine("vm-1", "small", Samples.SELF);
 
@@ -155,7 +156,7 @@
         assertThat(offers).containsExactly(new BestEffortQueue.Outgoing("perch-1",
                 List.of(new Offer("vm-1", 1, List.of("perch-0")))));
 
-        BestEffortQueue peer = new BestEffortQueue(view, Samples.placing(), new JobPauses(), urgency, "perch-1",
+        BestEffortQueue peer = new BestEffortQueue(view, Samples.placing(), new JobPauses(), urgency, idle, "perch-1",
                 Duration.ofSeconds(3), new SplittableRandom(2));
         peer.offered(offers.get(0).offers(), Instant.EPOCH);
         Draft there = new Draft(view, Samples.PEER, Samples.LIMITS, Samples.DAY);
@@ -163,4 +164,47 @@
         assertThat(there.job("run-000001").live()).hasSize(2);
         assertThat(there.guards()).contains(Keys.member("perch-1"), Keys.job("run-000001"));
     }
+
+    private void acceptIdle(String id, int tasks, long mark) {
+        view.put(Keys.job(id), JobRecord.accepted(Samples.request(id, "blue", Rank.IDLE, tasks, 4), "perch-0",
+                Samples.DAY.minusSeconds(50)), mark);
+    }
+
+    @Test
+    void idleWorkTakesOnlyWhatIsLeftOver() {
+        acceptIdle("run-000001", 9, 11);
+        Draft draft = draft();
+        queue.propose(draft, () -> List.of(machine), Instant.EPOCH);
+        assertThat(draft.job("run-000001").live()).as("nobody else waits").hasSize(4);
+
+        JobRecord urgent = JobRecord.accepted(Samples.request("run-000009", "red", Rank.HIGH, 2, 8), null, Samples.DAY);
+        view.put(Keys.job("run-000009"), Samples.placed(urgent, Samples.DAY, "vm-9", "vm-9"), 12);
+        draft = draft();
+        queue.propose(draft, () -> List.of(machine), Instant.EPOCH);
+        assertThat(draft.job("run-000001").live()).as("8 of the 16 are kept for urgent work").hasSize(2);
+
+        // Somebody's best-effort job waits and may run: the room is not for idle work, whoever finds it.
+        accept("run-000002", "red", "perch-1", 1, 5, 13);
+        draft = draft();
+        queue.propose(draft, () -> List.of(machine), Instant.EPOCH);
+        assertThat(draft.job("run-000001").live()).isEmpty();
+    }
+
+    /** The leader stops as many idle tasks as the waiting job could use, and no others. */
+    @Test
+    void idleWorkMakesWayForBestEffortWorkOfAHigherRank() {
+        acceptIdle("run-000001", 9, 11);
+        JobRecord held = view.job("run-000001");
+        view.put(Keys.job("run-000001"), Samples.placed(held, Samples.DAY, "vm-1", "vm-1", "vm-1"), 12);
+        JobRecord normal = JobRecord.accepted(Samples.request("run-000002", "red", Rank.NORMAL, 1, 4), "perch-1", Samples.DAY);
+        view.put(Keys.job("run-000002"), Samples.placed(normal, Samples.DAY, "vm-1"), 13);
+        Draft draft = draft();
+        idle.propose(draft, Instant.EPOCH);
+        assertThat(draft.isEmpty()).as("nobody waits").isTrue();
+        accept("run-000003", "red", "perch-1", 2, 5, 14);
+        draft = draft();
+        idle.propose(draft, Instant.EPOCH.plusSeconds(2));
+        assertThat(draft.job("run-000001").live().stream().filter(Placement::stopping).count()).isEqualTo(2);
+        assertThat(draft.job("run-000002").live()).noneMatch(Placement::stopping);
+    }
 }
