Answers to commits of a former membership count for nothing; entitled only once informed

Placements guard neither share nor machine, so two at a time could go beyond a limit. Memberships are counted now, and only answers to the present one's commits free the way. - a controller that joined anew sent commands for a moment from a view older than its joining, in which others may have claimed its machines. It is entitled once the watch has passed its joining. LedgerTest has a test of each, seen to fail without the change.

--- a/src/main/java/org/gullway/bookkeeping/Ledger.java
+++ b/src/main/java/org/gullway/bookkeeping/Ledger.java
@@ -84,6 +84,10 @@
     private final Map<String, Refusal> refusals = new HashMap<>();
     /** Revision at which the own member key was written; a reading that is older shows a former one. */
     private long memberSince;
+    /** The same for the beginning of the present membership. */
+    private long joinedAt;
+    /** Counts memberships: an answer to a commit of an earlier one says nothing of what is on its way now. */
+    private int term;
     private long watchRun;
     private int renewals;
 
@@ -115,7 +119,8 @@
 
     /** Whether the view is recent and this controller is entitled to act. */
     public boolean entitled() {
-        return phase == Phase.MEMBER && fresh() && membership.trusted(loop.now());
+        // A view from before the joining may lack what others have claimed and placed meanwhile.
+        return phase == Phase.MEMBER && fresh() && membership.trusted(loop.now()) && view.watched() >= joinedAt;
     }
 
     /** Whether the view follows the store without a gap. */
@@ -291,8 +296,10 @@
                 }
                 membership.joined(lease, sent);
                 memberSince = outcome.revision();
+                joinedAt = memberSince;
                 view.put(memberKey(), self(), outcome.revision());
                 phase = Phase.MEMBER;
+                term++;
                 committing = false;
                 LOG.info("joined as {} with lease {}", self(), lease);
                 changed.run();
@@ -369,12 +376,13 @@
         changes.spend(draft.changes().size());
         commits.spend(1);
         long lease = membership.lease();
+        int sentIn = term;
         long knownTo = view.watched();
         Map<String, Long> marks = new HashMap<>();
         draft.guards().forEach(key -> marks.put(key, view.mark(key)));
         store.commit(draft.guards(), marks::get, draft.changes(), lease, outcome -> {
             if (outcome.is(200)) {
-                committing = false;
+                ended(sentIn);
                 refusals.clear();
                 long revision = outcome.revision();
                 draft.changes().forEach((key, value) -> {
@@ -393,7 +401,7 @@
                 LOG.info("a commit got no answer; writing the member key anew");
                 ruleOut(() -> callback.accept(Result.REFUSED));
             } else {
-                committing = false;
+                ended(sentIn);
                 Set<String> failed = Set.of();
                 if (outcome.is(409)) {
                     failed = failedGuards(outcome);
@@ -413,6 +421,12 @@
         });
     }
 
+    private void ended(int sentIn) {
+        if (sentIn == term) {
+            committing = false;
+        }
+    }
+
     private static Set<String> failedGuards(StateStore.Outcome outcome) {
         Set<String> failed = new HashSet<>();
         outcome.body().path("failed").forEach(key -> failed.add(key.asText()));
@@ -459,11 +473,12 @@
     /** Makes sure that earlier commits of this controller can no longer be carried out. */
     private void ruleOut(Runnable then) {
         long lease = membership.lease();
+        int sentIn = term;
         store.commit(Set.of(memberKey()), view::mark, Map.of(memberKey(), self()), lease, outcome -> {
             if (outcome.is(200)) {
                 memberSince = outcome.revision();
                 view.put(memberKey(), self(), outcome.revision());
-                committing = false;
+                ended(sentIn);
                 await(outcome.revision());
                 then.run();
             } else if (outcome.is(409) || outcome.kind() == Reply.Kind.ANSWERED && outcome.status() == 400) {
@@ -478,7 +493,7 @@
                     if (lease == membership.lease() && phase == Phase.MEMBER) {
                         ruleOut(then);
                     } else {
-                        committing = false;
+                        ended(sentIn);
                         then.run();
                     }
                 });
--- a/src/test/java/org/gullway/bookkeeping/LedgerTest.java
+++ b/src/test/java/org/gullway/bookkeeping/LedgerTest.java
@@ -178,4 +178,47 @@
         test.run(10);
         assertThat(test.ledger.knownUntil()).isAfter(down.plusSeconds(30));
     }
+
+    /** Until the watch has passed its joining it may not know what others have claimed and placed: nothing is sent. */
+    @Test
+    void isNotEntitledBeforeItKnowsWhatWasCommittedUntilItJoined() {
+        run(2);
+        network.slow("/watch", Duration.ofMillis(900));
+        new StateStore(network.client("other", process), STATE).end(1, outcome -> { });
+        int entitled = 0;
+        int behind = 0;
+        for (int i = 0; i < 6000; i++) {
+            time.runUntil(time.now().plusMillis(1));
+            boolean knows = view.watched() >= view.mark(Keys.member(Samples.SELF.node()));
+            behind += knows ? 0 : 1;
+            entitled += ledger.entitled() ? 1 : 0;
+            assertThat(ledger.entitled() && !knows).isFalse();
+        }
+        assertThat(behind).as("the watch was behind for a while").isPositive();
+        assertThat(entitled).isPositive();
+    }
+
+    /** An answer to a commit of the membership before does not say that the one now on its way has ended. */
+    @Test
+    void oneCommitIsOnItsWayThoughAnOlderOneIsAnsweredLate() {
+        run(2);
+        network.slow("/commit", Duration.ofMillis(2500));
+        List<Ledger.Result> results = new ArrayList<>();
+        ledger.commit(draft(), results::add);
+        time.runUntil(time.now().plusMillis(50));
+        network.slow("", Duration.ZERO);
+        new StateStore(network.client("other", process), STATE).end(1, outcome -> { });
+        for (int i = 0; i < 2500 && !(view.mark(Keys.member(Samples.SELF.node())) > 3 && ledger.ready()); i++) {
+            time.runUntil(time.now().plusMillis(1));
+        }
+        assertThat(ledger.ready()).as("joined anew").isTrue();
+        assertThat(results).as("the first is still open").isEmpty();
+        network.slow("/commit", Duration.ofMillis(2900));
+        ledger.commit(draft(), results::add);
+        for (int i = 0; i < 2800; i++) {
+            time.runUntil(time.now().plusMillis(1));
+            assertThat(ledger.ready()).as("the second is open").isFalse();
+        }
+        assertThat(results).as("the first was answered meanwhile").hasSize(1);
+    }
 }
