--- a/src/test/java/org/gullway/Rehearsal.java
+++ b/src/test/java/org/gullway/Rehearsal.java
@@ -212,16 +212,6 @@
             return Duration.ofMillis(100);
         }
 
-        @Override
-        public boolean fails(String machine, String job) {
-            return false;
-        }
-
-        @Override
-        public boolean completed(String task) {
-            return false;
-        }
-
         @Override
         public void began(String machine, String task) {
         }
--- a/src/test/java/org/gullway/standin/StandInWorker.java
+++ b/src/test/java/org/gullway/standin/StandInWorker.java
@@ -29,9 +29,13 @@
         Duration runTime(String job);
 
         /** The outcome of a task that ran its time. */
-        boolean fails(String machine, String job);
+        default boolean fails(String machine, String job) {
+            return false;
+        }
 
-        boolean completed(String task);
+        default boolean completed(String task) {
+            return false;
+        }
 
         void began(String machine, String task);
 
--- a/src/test/java/org/gullway/standin/StandInsTest.java
+++ b/src/test/java/org/gullway/standin/StandInsTest.java
@@ -142,16 +142,6 @@
                 return Duration.ofSeconds(60);
             }
 
-            @Override
-            public boolean fails(String machine, String job) {
-                return false;
-            }
-
-            @Override
-            public boolean completed(String task) {
-                return false;
-            }
-
             @Override
             public void began(String machine, String task) {
                 events.add(task + " began");
