--- a/src/test/java/org/gullway/SimulatedWorld.java
+++ b/src/test/java/org/gullway/SimulatedWorld.java
@@ -320,6 +320,14 @@
         }
     }
 
+    /** The controller runs nothing for so long, while clocks and network go on; then it does all that was due. */
+    void standStill(String name, Duration span) {
+        SimulatedTime.Process process = running.get(name);
+        if (process != null) {
+            process.standStill(span);
+        }
+    }
+
     /** All troubles are over: from now on every job is known and nothing is forgotten. */
     void calm() {
         network.heal();
--- a/src/test/java/org/gullway/Trouble.java
+++ b/src/test/java/org/gullway/Trouble.java
@@ -13,6 +13,12 @@
             world.crash(node(world, random), Duration.ofMillis(200 + random.nextInt(6000)));
         }
     },
+    STANDS_STILL {
+        @Override
+        void strike(SimulatedWorld world, SplittableRandom random, Duration span) {
+            world.standStill(node(world, random), span);
+        }
+    },
     ALL_CRASH {
         @Override
         void strike(SimulatedWorld world, SplittableRandom random, Duration span) {
--- a/src/test/java/org/gullway/TroublesTest.java
+++ b/src/test/java/org/gullway/TroublesTest.java
@@ -180,4 +180,29 @@
         world.calm();
         finishes(world, Duration.ofSeconds(300));
     }
+
+    /**
+     * A leader stands still for seconds or far beyond its membership while its clocks run on, others take over, jobs are
+     * cancelled and submitted; then it does at once all that was due, with what it knew before.
+     */
+    @Property(tries = 12, seed = "29")
+    void aControllerThatStoodStillGoesOn(@ForAll @IntRange(min = 1, max = 1000) int seed) {
+        SimulatedWorld world = busy(seed);
+        String leader = world.leader();
+        Duration still = Duration.ofMillis(1500 + seed * 37 % 40_000);
+        world.after(Duration.ofMillis(seed % 700), () -> world.standStill(leader, still));
+        for (int i = 9; i < 15; i++) {
+            int number = i;
+            world.after(Duration.ofSeconds(3L * (i - 9)), () -> {
+                world.submit(number, number % 2 == 0 ? "red" : "blue", number % 3 == 0 ? Rank.HIGH : Rank.NORMAL, 4, 4,
+                        Duration.ofSeconds(15));
+                world.users().get(number - 9).cancel();
+            });
+        }
+        for (int i = 0; i < 40; i++) {
+            world.after(Duration.ofMillis(1100L * i), () -> world.users().forEach(SimulatedWorld.User::askEverywhere));
+        }
+        world.after(still.plusSeconds(2), world::calm);
+        finishes(world, Duration.ofSeconds(220));
+    }
 }
--- a/src/test/java/org/gullway/standin/SimulatedNetwork.java
+++ b/src/test/java/org/gullway/standin/SimulatedNetwork.java
@@ -190,18 +190,28 @@
                 return;
             }
             int question = request.path().indexOf('?');
-            host.handler().accept(new Message(from, request.method(),
+            Message message = new Message(from, request.method(),
                     question < 0 ? request.path() : request.path().substring(0, question),
                     question < 0 ? "" : request.path().substring(question + 1), request.body(),
                     reply -> wires.after(request.path().split("\\?")[0].equals(slowPath) ? slowBy : Duration.ZERO,
-                            () -> answer(from, sender, address, finish, reply))));
+                            () -> answer(from, sender, address, finish, reply)));
+            if (host.process().standsStill()) {
+                host.process().execute(() -> host.handler().accept(message));
+            } else {
+                host.handler().accept(message);
+            }
         });
     }
 
     private void answer(String from, SimulatedTime.Process sender, String address, Consumer<Reply> finish, Reply reply) {
         wires.after(latency(), () -> {
             // An answer held back by a cut comes after the sender has given up, which is the same as never.
-            if (!isCut(from, address) && !unanswered.contains(from) && !sender.killed()) {
+            if (isCut(from, address) || unanswered.contains(from) || sender.killed()) {
+                return;
+            }
+            if (sender.standsStill()) {
+                sender.execute(() -> finish.accept(reply));
+            } else {
                 finish.accept(reply);
             }
         });
--- a/src/test/java/org/gullway/standin/SimulatedTime.java
+++ b/src/test/java/org/gullway/standin/SimulatedTime.java
@@ -22,6 +22,7 @@
     /** The loop of one process; after {@link #kill()} nothing of it runs any more. */
     public final class Process implements EventLoop {
         private boolean killed;
+        private Instant stillUntil = Instant.EPOCH;
 
         @Override
         public Instant now() {
@@ -36,14 +37,30 @@
         @Override
         public Runnable after(Duration delay, Runnable task) {
             boolean[] cancelled = new boolean[1];
-            queue.add(new Due(now.plus(delay.isNegative() ? Duration.ZERO : delay), order++, () -> {
-                if (!killed && !cancelled[0]) {
-                    task.run();
-                }
-            }));
+            queue.add(new Due(now.plus(delay.isNegative() ? Duration.ZERO : delay), order++, () -> runOrWait(task, cancelled)));
             return () -> cancelled[0] = true;
         }
 
+        private void runOrWait(Runnable task, boolean[] cancelled) {
+            if (killed || cancelled[0]) {
+                return;
+            }
+            if (standsStill()) {
+                queue.add(new Due(stillUntil, order++, () -> runOrWait(task, cancelled)));
+            } else {
+                task.run();
+            }
+        }
+
+        /** It runs nothing for so long while the clocks go on; then all that was due meanwhile, in order. */
+        public void standStill(Duration span) {
+            stillUntil = now.plus(span);
+        }
+
+        public boolean standsStill() {
+            return now.isBefore(stillUntil);
+        }
+
         public void kill() {
             killed = true;
         }
