--- a/src/test/java/org/gullway/bookkeeping/RecordCodecTest.java
+++ b/src/test/java/org/gullway/bookkeeping/RecordCodecTest.java
@@ -48,7 +48,8 @@
         }
         JobRecord job = new JobRecord(Samples.request("run-000001", "red", Rank.HIGH, 100_000, 4),
                 random.nextBoolean() ? "perch-1" : null, submitted,
-                random.nextBoolean() ? submitted.plusMillis(random.nextInt(1_000_000)) : null, done, random.nextLong(1L << 40), random.nextInt(10), List.copyOf(live.values()));
+                random.nextBoolean() ? submitted.plusMillis(random.nextInt(1_000_000)) : null,
+                done, random.nextLong(1L << 40), random.nextInt(10), List.copyOf(live.values()));
         JobRecord read = (JobRecord) through(Keys.job("run-000001"), job);
         assertThat(read.live()).containsExactlyInAnyOrderElementsOf(job.live());
         assertThat(read).usingRecursiveComparison().ignoringFields("live").isEqualTo(job);
