--- a/src/test/java/org/gullway/fake/FakeStateStore.java
+++ b/src/test/java/org/gullway/fake/FakeStateStore.java
@@ -12,6 +12,7 @@
 import java.util.Map;
 import java.util.Set;
 import java.util.TreeMap;
+import java.util.function.BiPredicate;
 import java.util.function.Consumer;
 import java.util.function.Predicate;
 import java.util.random.RandomGenerator;
@@ -95,6 +96,8 @@
     private RandomGenerator lostRandom;
     private Predicate<JsonNode> heldUp;
     private Duration heldUpBy;
+    private BiPredicate<String, Call> answeredLate = (client, call) -> false;
+    private Duration answeredLateBy = Duration.ZERO;
     private final Map<String, Consumer<JsonNode>> listeners = new HashMap<>();
     private int slowMillis;
     private RandomGenerator slowRandom;
@@ -155,6 +158,12 @@
         heldUpBy = by;
     }
 
+    /** From now on the answers to these calls, by client and call, come so much later; what they ask for is done at once. */
+    public void answerLate(BiPredicate<String, Call> which, Duration by) {
+        answeredLate = which;
+        answeredLateBy = by;
+    }
+
     /** Is told of every value that is put under this key, at that very moment. */
     public void whenPut(String key, Consumer<JsonNode> listener) {
         listeners.put(key, listener);
@@ -173,6 +182,7 @@
         lostShare = 0;
         heldUp = null;
         slowMillis = 0;
+        answeredLate = (client, call) -> false;
         setDown(false);
     }
 
@@ -252,9 +262,7 @@
 
     public void handle(Call received) {
         String client = received instanceof SimulatedNetwork.Message message ? message.from() : "";
-        Call call = slowMillis == 0
-                ? received
-                : new LateCall(loop, received, Duration.ofMillis(slowRandom.nextInt(slowMillis)));
+        Call call = delayed(client, received);
         if (!serves(client)) {
             call.answer(503, new byte[0]);
             return;
@@ -286,6 +294,15 @@
         }
     }
 
+    private Call delayed(String client, Call received) {
+        if (answeredLate.test(client, received)) {
+            return new LateCall(loop, received, answeredLateBy);
+        }
+        return slowMillis == 0
+                ? received
+                : new LateCall(loop, received, Duration.ofMillis(slowRandom.nextInt(slowMillis)));
+    }
+
     private void receiveCommit(Call call, ObjectNode body) {
         if (heldUp != null && anyChange(body, heldUp)) {
             heldUp = null;
