A state is told only on evidence that is not older than the request

Cause: the answer to a commit was matched to waiting submissions by job id alone. Change: StateAnswers decides every answer with a state. Its evidence (verification, reading or commit, with its revision and the moment at which it was sent) must not be older than the request, or be a final state; a violation is logged as an error, counted, and refuses the request with 503. Starts are checked against record, session and epoch when they are sent. Both checks fail every simulated test. New log lines: the evidence of each answer, commits with their revision, commands with the revision that allows them, who leads.

--- a/src/main/java/org/gullway/CancellationRequests.java
+++ b/src/main/java/org/gullway/CancellationRequests.java
@@ -12,7 +12,6 @@
 import org.gullway.coordination.Transaction;
 import org.gullway.protocol.JobRequest;
 import org.gullway.protocol.JobStatus;
-import org.gullway.transport.Call;
 import org.gullway.transport.EventLoop;
 
 /** Users' cancellations from their arrival until they are on record and their users have been told so. */
@@ -25,48 +24,54 @@
     private final Ledger ledger;
     private final FinalStates finals;
     private final JobLookUps lookUps;
+    private final StateAnswers answers;
     private final Runnable changed;
     private final Map<String, Cancellation> pending = new LinkedHashMap<>();
 
-    private record Cancellation(String id, Instant came, List<Call> calls) {}
+    private record Cancellation(String id, Instant came, List<UserCall> calls) {}
 
     /** @param changed asks for a round of decisions */
     CancellationRequests(
-            EventLoop loop, ClusterView view, Ledger ledger, FinalStates finals, JobLookUps lookUps, Runnable changed) {
+            EventLoop loop,
+            ClusterView view,
+            Ledger ledger,
+            FinalStates finals,
+            JobLookUps lookUps,
+            StateAnswers answers,
+            Runnable changed) {
         this.loop = loop;
         this.view = view;
         this.ledger = ledger;
         this.finals = finals;
         this.lookUps = lookUps;
+        this.answers = answers;
         this.changed = changed;
     }
 
     /** Cancels the job and answers when that is on record, or at once if it is over or nobody knows it. */
-    void cancel(String id, Call call) {
+    void cancel(String id, UserCall call) {
         if (!JobRequest.isId(id)) {
-            UserAnswers.unknown(call);
+            UserAnswers.notAnId(call.call());
         } else if (!ledger.entitled()) {
-            UserAnswers.refuse(call);
+            UserAnswers.refuse(call.call());
         } else if (pending.size() >= MOST_PENDING) {
-            call.refuse(429, UserAnswers.RETRY_AFTER);
+            call.call().refuse(429, UserAnswers.RETRY_AFTER);
         } else if (view.job(id) == null) {
-            lookUps.lookUp(id, found -> cancelFound(id, found, call), () -> UserAnswers.refuse(call));
+            lookUps.lookUp(id, found -> cancelFound(found, call), () -> UserAnswers.refuse(call.call()));
         } else {
             enqueue(id, call);
         }
     }
 
-    private void cancelFound(String id, JobStatus found, Call call) {
-        if (found == null) {
-            UserAnswers.unknown(call);
-        } else if (found.state().isFinal()) {
-            UserAnswers.state(call, found);
+    private void cancelFound(JobFinding found, UserCall call) {
+        if (found.status() == null || found.isFinal()) {
+            answers.answerCancellation(call, found);
         } else {
-            enqueue(id, call);
+            enqueue(found.id(), call);
         }
     }
 
-    private void enqueue(String id, Call call) {
+    private void enqueue(String id, UserCall call) {
         pending.computeIfAbsent(id, i -> new Cancellation(i, loop.now(), new ArrayList<>()))
                 .calls()
                 .add(call);
@@ -89,15 +94,14 @@
         boolean entitled = ledger.entitled();
         for (String id : List.copyOf(pending.keySet())) {
             Cancellation cancellation = pending.get(id);
-            JobRecord job = view.job(id);
-            if (job != null && job.cancelled()) {
-                pending.remove(id).calls().forEach(call -> UserAnswers.state(call, job.status()));
-            } else if (finals.contains(id)) {
-                pending.remove(id).calls().forEach(call -> UserAnswers.state(call, finals.of(id)));
-            } else if (job == null) {
+            JobStatus end = finals.of(id);
+            if (end != null) {
+                JobFinding found = JobFinding.ofFinalState(end);
+                pending.remove(id).calls().forEach(call -> answers.answerCancellation(call, found));
+            } else if (view.job(id) == null) {
                 pending.remove(id).calls().forEach(call -> cancel(id, call));
             } else if (!entitled || cancellation.came().plus(PATIENCE).isBefore(now)) {
-                pending.remove(id).calls().forEach(UserAnswers::refuse);
+                pending.remove(id).calls().forEach(call -> UserAnswers.refuse(call.call()));
             }
         }
     }
--- a/src/main/java/org/gullway/CommandSender.java
+++ b/src/main/java/org/gullway/CommandSender.java
@@ -2,9 +2,13 @@
 
 import java.time.Duration;
 import java.time.Instant;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.function.BooleanSupplier;
 import java.util.function.Consumer;
 import org.gullway.coordination.CancelledTasks;
 import org.gullway.coordination.MachineControl;
+import org.gullway.coordination.StartAuthorization;
 import org.gullway.protocol.Command;
 import org.gullway.protocol.MalformedException;
 import org.gullway.protocol.WorkerReport;
@@ -24,21 +28,33 @@
     private final Client http;
     private final MachineControl machines;
     private final CancelledTasks cancelled;
+    private final StartAuthorization authorization;
+    private final BooleanSupplier entitled;
+    private final InvariantMonitor invariants;
     private final Metrics metrics;
     private final Runnable schedule;
 
-    /** @param schedule asks for a round, after every outcome */
+    /**
+     * @param entitled whether this controller may act at this moment
+     * @param schedule asks for a round, after every outcome
+     */
     CommandSender(
             EventLoop loop,
             Client http,
             MachineControl machines,
             CancelledTasks cancelled,
+            StartAuthorization authorization,
+            BooleanSupplier entitled,
+            InvariantMonitor invariants,
             Metrics metrics,
             Runnable schedule) {
         this.loop = loop;
         this.http = http;
         this.machines = machines;
         this.cancelled = cancelled;
+        this.authorization = authorization;
+        this.entitled = entitled;
+        this.invariants = invariants;
         this.metrics = metrics;
         this.schedule = schedule;
     }
@@ -58,8 +74,54 @@
                 .forEach(push -> command(push, outcome -> cancelled.pressed(push, loop.now()), cancelled::answered));
     }
 
+    /** The same push with only those starts that are allowed at this moment. */
+    private MachineControl.Push authorized(MachineControl.Push push) {
+        if (!push.starts()) {
+            return push;
+        }
+        List<Command> allowed = new ArrayList<>();
+        for (Command command : push.commands()) {
+            if (command.kind() != Command.Kind.START || mayStart(push, command)) {
+                allowed.add(command);
+            }
+        }
+        return push.with(allowed);
+    }
+
+    private boolean mayStart(MachineControl.Push push, Command start) {
+        if (!entitled.getAsBoolean()) {
+            LOG.debug("no start of {} on {}: not entitled any more", start.task(), push.machine());
+            return false;
+        }
+        String objection = authorization.objection(push, start);
+        if (objection != null) {
+            invariants.violated("start of " + start.task() + " attempt " + start.attempt() + " on " + push.machine()
+                    + " in session " + push.session() + " under epoch " + push.token() + ": " + objection);
+            return false;
+        }
+        return true;
+    }
+
+    private void log(MachineControl.Push push) {
+        for (Command command : push.commands()) {
+            LOG.debug(
+                    "{} of {}#{} to {} in session {} under epoch {} by revision {}",
+                    command.kind(),
+                    command.task(),
+                    command.attempt(),
+                    push.machine(),
+                    push.session(),
+                    push.token(),
+                    authorization.revision(command));
+        }
+    }
+
     private void command(
-            MachineControl.Push push, Consumer<MachineControl.Outcome> ended, Consumer<WorkerReport> answers) {
+            MachineControl.Push wanted, Consumer<MachineControl.Outcome> ended, Consumer<WorkerReport> answers) {
+        MachineControl.Push push = authorized(wanted);
+        if (LOG.isDebugEnabled()) {
+            log(push);
+        }
         metrics.pushed();
         byte[] body = Command.direct(push.token(), push.session(), push.commands());
         http.call(push.address(), Reply.Request.post(PATH, body, LIMIT), reply -> {
--- a/src/main/java/org/gullway/Controller.java
+++ b/src/main/java/org/gullway/Controller.java
@@ -8,6 +8,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.SplittableRandom;
+import java.util.function.Consumer;
 import java.util.random.RandomGenerator;
 import org.gullway.bookkeeping.Ledger;
 import org.gullway.bookkeeping.StateStore;
@@ -21,6 +22,7 @@
 import org.gullway.coordination.IdleWork;
 import org.gullway.coordination.Incarnation;
 import org.gullway.coordination.JobBackoff;
+import org.gullway.coordination.Keys;
 import org.gullway.coordination.LeaseRenewalPolicy;
 import org.gullway.coordination.MachineControl;
 import org.gullway.coordination.Membership;
@@ -29,6 +31,7 @@
 import org.gullway.coordination.QuotaAllotments;
 import org.gullway.coordination.Reconciliation;
 import org.gullway.coordination.ReservedBooking;
+import org.gullway.coordination.StartAuthorization;
 import org.gullway.coordination.Transaction;
 import org.gullway.protocol.OperatorSettings;
 import org.gullway.protocol.Settings;
@@ -70,6 +73,8 @@
     private final CommandSender commands;
     private final ReportHandler reports;
     private final Metrics metrics = new Metrics();
+    private final InvariantMonitor invariants = new InvariantMonitor(metrics);
+    private final LeadershipLog leadership = new LeadershipLog();
     private final RoundPacer pacer;
     private final DecisionRound decisions;
     private final Duration logInterval;
@@ -114,7 +119,16 @@
         this.fleet = new FleetAutoscaler(view, placing, fleetPolicy(operator));
         this.cloud = newCloudProvisioner(settings, http);
         this.users = newUserApi(settings, random.split());
-        this.commands = new CommandSender(loop, http, machines, cancelled, metrics, this::schedule);
+        this.commands = new CommandSender(
+                loop,
+                http,
+                machines,
+                cancelled,
+                new StartAuthorization(view, self),
+                ledger::entitled,
+                invariants,
+                metrics,
+                this::schedule);
         this.peers = new PeerExchange(
                 loop,
                 http,
@@ -160,6 +174,7 @@
                 metrics,
                 4 * settings.stateChangesPerCommit(),
                 cancelled,
+                invariants,
                 this::schedule);
     }
 
@@ -227,6 +242,11 @@
         loop.every(logInterval, this::logFigures);
     }
 
+    /** From now on the listener is told of every assertion of this program that fails. */
+    void onInvariantViolated(Consumer<String> listener) {
+        invariants.listen(listener);
+    }
+
     /** Answers a request that came to the public address. */
     void answer(Call call) {
         requests.answer(call);
@@ -269,6 +289,7 @@
             }
             return;
         }
+        leadership.observe(view.leader(), view.epoch(), view.mark(Keys.LEADER));
         wasEntitled = true;
         reports.entitled();
         leases.forget();
--- a/src/main/java/org/gullway/DecisionRound.java
+++ b/src/main/java/org/gullway/DecisionRound.java
@@ -91,11 +91,12 @@
     }
 
     private void commit(Transaction made, Instant began) {
+        Instant sent = loop.now();
         ledger.commit(made, result -> {
             Duration took = Duration.between(began, loop.now());
             metrics.committed(result.committed(), made.changes().keySet(), took);
             if (result.committed()) {
-                users.committed(made);
+                users.committed(made, result.revision(), sent);
             } else {
                 users.refused(result.failed());
             }
--- a/src/main/java/org/gullway/FinalStates.java
+++ b/src/main/java/org/gullway/FinalStates.java
@@ -2,12 +2,18 @@
 
 import java.util.LinkedHashMap;
 import java.util.Map;
+import org.gullway.coordination.ClusterView;
+import org.gullway.coordination.JobRecord;
 import org.gullway.protocol.JobStatus;
 
-/** Final states of jobs that ended; they never change, so they may be told from memory. */
+/**
+ * Final states of jobs, as far as they are known here: of those that ended, and of those that the view shows as
+ * cancelled. They never change, so they may be told from memory.
+ */
 final class FinalStates {
     private static final int MOST_REMEMBERED = 10_000;
 
+    private final ClusterView view;
     private final Map<String, JobStatus> states = new LinkedHashMap<>(16, 0.75f, true) {
         @Override
         protected boolean removeEldestEntry(Map.Entry<String, JobStatus> eldest) {
@@ -15,13 +21,22 @@
         }
     };
 
-    /** The final state of the job; null if none is remembered. */
+    FinalStates(ClusterView view) {
+        this.view = view;
+    }
+
+    /** The final state of the job; null if none is known. */
     JobStatus of(String id) {
-        return states.get(id);
+        JobStatus end = states.get(id);
+        if (end != null) {
+            return end;
+        }
+        JobRecord job = view.job(id);
+        return job != null && job.cancelled() ? job.status() : null;
     }
 
     boolean contains(String id) {
-        return states.containsKey(id);
+        return of(id) != null;
     }
 
     void remember(JobStatus status) {
--- a/src/main/java/org/gullway/JobLookUps.java
+++ b/src/main/java/org/gullway/JobLookUps.java
@@ -2,6 +2,7 @@
 
 import com.fasterxml.jackson.databind.JsonNode;
 import java.time.Duration;
+import java.time.Instant;
 import java.util.ArrayList;
 import java.util.HashMap;
 import java.util.LinkedHashMap;
@@ -44,13 +45,15 @@
     private boolean scheduled;
 
     /** Somebody who wants to know the state of a job. */
-    private record Asker(Consumer<JobStatus> found, Runnable failed) {}
+    private record Asker(Consumer<JobFinding> found, Runnable failed) {}
 
     /** One reading of a job's state, with all who wait for it. */
     private static final class Reading {
         private final String id;
         /** The job is known to be over, so that there is no live record to read. */
         private boolean surelyEnded;
+        /** When the first of its requests was sent. */
+        private Instant sentAt;
 
         private final List<Asker> askers = new ArrayList<>();
         /** Asked after the reading was sent: it may be too old for them unless it shows a final state. */
@@ -74,22 +77,22 @@
     /**
      * Reads a job's state from the store. A job only ever moves from live to ended.
      *
-     * @param found is told the state, or null if there is no such job
+     * @param found is told the state, or that there is no such job
      * @param failed is run if the state cannot be told now, perhaps at once
      */
-    void lookUp(String id, Consumer<JobStatus> found, Runnable failed) {
+    void lookUp(String id, Consumer<JobFinding> found, Runnable failed) {
         ask(id, false, new Asker(found, failed));
     }
 
     /** The same for a job of which it is known that it is over. */
-    void lookUpEnded(String id, Consumer<JobStatus> found, Runnable failed) {
+    void lookUpEnded(String id, Consumer<JobFinding> found, Runnable failed) {
         ask(id, true, new Asker(found, failed));
     }
 
     private void ask(String id, boolean surelyEnded, Asker asker) {
         JobStatus end = finals.of(id);
         if (end != null) {
-            asker.found().accept(end);
+            asker.found().accept(JobFinding.ofFinalState(end));
         } else if (waiting.containsKey(id)) {
             Reading reading = waiting.get(id);
             reading.askers.add(asker);
@@ -116,6 +119,7 @@
     private void sendWhatMayBeSent() {
         while (!waiting.isEmpty() && budget.available()) {
             Reading next = waiting.remove(waiting.keySet().iterator().next());
+            next.sentAt = loop.now();
             sent.put(next.id, next);
             if (next.surelyEnded) {
                 readEnded(next);
@@ -143,7 +147,7 @@
             if (live.kind() != Reply.Kind.ANSWERED || live.status() != 200 && live.status() != 404) {
                 fail(reading);
             } else if (live.status() == 200) {
-                tell(reading, recorded(reading.id, live.body().path("v")));
+                tell(reading, recorded(reading.id, live.body().path("v")), live.revision());
             } else {
                 readEnded(reading);
             }
@@ -154,7 +158,7 @@
         budget.spend(1);
         store.get(Keys.ended(reading.id), end -> {
             if (end.kind() == Reply.Kind.ANSWERED && end.status() == 404) {
-                tell(reading, null);
+                tell(reading, null, end.revision());
                 return;
             }
             if (end.kind() != Reply.Kind.ANSWERED || end.status() != 200) {
@@ -165,18 +169,21 @@
                 Transaction.Ended state = RecordCodec.ended(end.body().path("v"));
                 JobStatus status = new JobStatus(reading.id, state.state(), state.done(), 0);
                 finals.remember(status);
-                tell(reading, status);
+                tell(reading, status, end.revision());
             } catch (MalformedException e) {
                 fail(reading);
             }
         });
     }
 
-    private void tell(Reading reading, JobStatus status) {
+    private void tell(Reading reading, JobStatus status, long revision) {
         sent.remove(reading.id);
-        reading.askers.forEach(asker -> asker.found().accept(status));
-        if (status != null && status.state().isFinal()) {
-            reading.late.forEach(asker -> asker.found().accept(status));
+        Evidence.Source source =
+                status != null && status.state().isFinal() ? Evidence.Source.FINAL_STATE : Evidence.Source.READING;
+        JobFinding finding = new JobFinding(reading.id, status, new Evidence(source, revision, reading.sentAt));
+        reading.askers.forEach(asker -> asker.found().accept(finding));
+        if (finding.isFinal()) {
+            reading.late.forEach(asker -> asker.found().accept(finding));
         } else {
             reading.late.forEach(asker -> ask(reading.id, false, asker));
         }
--- a/src/main/java/org/gullway/Metrics.java
+++ b/src/main/java/org/gullway/Metrics.java
@@ -26,6 +26,7 @@
     private final Counter otherChanges = registry.counter("changes.other");
     private final Counter questionsAnswered = registry.counter("questions.answered");
     private final Counter questionsRefused = registry.counter("questions.refused");
+    private final Counter violations = registry.counter("invariants.violated");
     private final Histogram acceptance = new Histogram(LONGEST_MS, 2);
     private final Histogram commit = new Histogram(LONGEST_MS, 2);
     private final Histogram round = new Histogram(LONGEST_MS, 2);
@@ -64,9 +65,14 @@
         (answered ? questionsAnswered : questionsRefused).increment(count);
     }
 
+    /** An assertion of this program failed. */
+    void invariantViolated() {
+        violations.increment();
+    }
+
     void log(String situation) {
         LOG.info(
-                "{} accepted={} p99={}ms commits={} refused={} changes={}/{}/{} p50={}ms p99={}ms rounds={} max={}ms pushes={} offers={} questions={}/{}",
+                "{} accepted={} p99={}ms commits={} refused={} changes={}/{}/{} p50={}ms p99={}ms rounds={} max={}ms pushes={} offers={} questions={}/{} violations={}",
                 situation,
                 acceptance.getTotalCount(),
                 acceptance.getValueAtPercentile(99),
@@ -82,7 +88,8 @@
                 (long) pushes.count(),
                 (long) offers.count(),
                 (long) questionsAnswered.count(),
-                (long) questionsRefused.count());
+                (long) questionsRefused.count(),
+                (long) violations.count());
         acceptance.reset();
         commit.reset();
         round.reset();
--- /dev/null
+++ b/src/main/java/org/gullway/StateAnswers.java
@@ -0,0 +1,106 @@
+package org.gullway;
+
+import java.time.Duration;
+import java.time.Instant;
+import java.util.function.Function;
+import org.gullway.protocol.Cbor;
+import org.gullway.protocol.JobStatus;
+import org.gullway.transport.EventLoop;
+import org.slf4j.Logger;
+import org.slf4j.LoggerFactory;
+
+/**
+ * The only place that tells users the state of a job, or that there is no such job. An answer needs evidence that is not
+ * older than the request, or a final state; a request whose answer lacks that is refused for now and reported as a
+ * violated invariant.
+ */
+final class StateAnswers {
+    private static final Logger LOG = LoggerFactory.getLogger(StateAnswers.class);
+    private static final byte[] EMPTY = new byte[0];
+
+    private final EventLoop loop;
+    private final Function<String, JobStatus> finalState;
+    private final InvariantMonitor invariants;
+
+    /** @param finalState the final state of a job, as far as it is known here; null for any other job */
+    StateAnswers(EventLoop loop, Function<String, JobStatus> finalState, InvariantMonitor invariants) {
+        this.loop = loop;
+        this.finalState = finalState;
+        this.invariants = invariants;
+    }
+
+    /** Answers a question: 200 with the whole state, or 404. */
+    boolean answerQuestion(UserCall call, JobFinding found) {
+        return answer(
+                call,
+                found,
+                status -> status == null ? new Answer(404, EMPTY) : new Answer(200, Cbor.encode(status.toNode())));
+    }
+
+    /** Answers a submission whose job has just been recorded: 201 with the state that was committed. */
+    boolean answerAccepted(UserCall call, JobFinding committed) {
+        return answer(
+                call, committed, status -> new Answer(status.state().isFinal() ? 200 : 201, UserAnswers.state(status)));
+    }
+
+    /** Answers a cancellation: 200 with the final state, or 404. */
+    boolean answerCancellation(UserCall call, JobFinding found) {
+        return answer(
+                call,
+                found,
+                status -> status == null ? new Answer(404, EMPTY) : new Answer(200, UserAnswers.state(status)));
+    }
+
+    /** Answers a submission of a job that can never run: 422, unless it was accepted earlier. */
+    boolean answerImpossible(UserCall call, JobFinding found, String reason) {
+        return answer(
+                call,
+                found,
+                status -> status == null
+                        ? new Answer(422, UserAnswers.error(reason))
+                        : new Answer(200, Cbor.encode(status.toNode())));
+    }
+
+    private record Answer(int status, byte[] body) {}
+
+    /** Returns whether the answer was allowed. */
+    private boolean answer(UserCall call, JobFinding found, Function<JobStatus, Answer> form) {
+        JobFinding newest = newest(found);
+        if (!newest.evidence().covers(call.came())) {
+            invariants.violated(describe(newest, call));
+            UserAnswers.refuse(call.call());
+            return false;
+        }
+        Answer answer = form.apply(newest.status());
+        if (LOG.isDebugEnabled()) {
+            LOG.debug("{} to {}", answer.status(), describe(newest, call));
+        }
+        call.call().answer(answer.status(), answer.body());
+        return true;
+    }
+
+    /** A final state that has become known meanwhile replaces any other finding. */
+    private JobFinding newest(JobFinding found) {
+        if (found.isFinal()) {
+            return found;
+        }
+        JobStatus end = finalState.apply(found.id());
+        return end == null ? found : JobFinding.ofFinalState(end);
+    }
+
+    private String describe(JobFinding found, UserCall call) {
+        Evidence evidence = found.evidence();
+        Instant now = loop.now();
+        String state =
+                found.status() == null ? "unknown" : found.status().state().wire();
+        String age = evidence.source() == Evidence.Source.FINAL_STATE
+                ? ""
+                : " of revision " + evidence.revision() + ", " + millis(evidence.validFrom(), now) + " ms old";
+        return found.id() + " " + state + " by " + evidence.source() + age + ", asked " + millis(call.came(), now)
+                + " ms ago";
+    }
+
+    private static long millis(Instant from, Instant to) {
+        return Duration.between(from, to).toMillis();
+    }
+}
--- a/src/main/java/org/gullway/StatusQueries.java
+++ b/src/main/java/org/gullway/StatusQueries.java
@@ -13,12 +13,12 @@
 import java.util.Map;
 import java.util.Set;
 import org.gullway.bookkeeping.Ledger;
+import org.gullway.bookkeeping.Verification;
 import org.gullway.coordination.ClusterView;
 import org.gullway.coordination.JobRecord;
 import org.gullway.coordination.Keys;
 import org.gullway.protocol.JobRequest;
 import org.gullway.protocol.JobStatus;
-import org.gullway.transport.Call;
 import org.gullway.transport.EventLoop;
 
 /**
@@ -44,6 +44,7 @@
     private final Ledger ledger;
     private final FinalStates finals;
     private final JobLookUps lookUps;
+    private final StateAnswers answers;
     private final Metrics metrics;
     private final int keysPerRequest;
     /** Users who repeat a submission come before those who only ask. */
@@ -70,6 +71,7 @@
             Ledger ledger,
             FinalStates finals,
             JobLookUps lookUps,
+            StateAnswers answers,
             Metrics metrics,
             int guardsPerCommit) {
         this.loop = loop;
@@ -77,23 +79,24 @@
         this.ledger = ledger;
         this.finals = finals;
         this.lookUps = lookUps;
+        this.answers = answers;
         this.metrics = metrics;
         this.keysPerRequest = Math.max(KEYS_OF_UNKNOWN_JOB, guardsPerCommit);
     }
 
     /** Answers a user's question. */
-    void poll(String id, Call call) {
+    void poll(String id, UserCall call) {
         if (!JobRequest.isId(id)) {
-            UserAnswers.unknown(call);
+            UserAnswers.notAnId(call.call());
             return;
         }
-        JobStatus end = finalState(id);
+        JobStatus end = finals.of(id);
         if (end != null) {
             metrics.questions(true, 1);
-            UserAnswers.status(call, end);
+            answers.answerQuestion(call, JobFinding.ofFinalState(end));
         } else if (!ledger.fresh() || !open.containsKey(id) && overloaded()) {
             metrics.questions(false, 1);
-            UserAnswers.refuse(call);
+            UserAnswers.refuse(call.call());
         } else {
             open.computeIfAbsent(id, i -> begin(i, false)).add(call);
             verifySoon();
@@ -101,31 +104,21 @@
     }
 
     /** Tells a user who submits a job again what became of it; this never waits behind questions. */
-    void tellSubmitter(String id, Call call) {
-        JobStatus end = finalState(id);
+    void tellSubmitter(String id, UserCall call) {
+        JobStatus end = finals.of(id);
         if (end != null) {
-            UserAnswers.status(call, end);
+            answers.answerQuestion(call, JobFinding.ofFinalState(end));
         } else if (!ledger.fresh() || submitters.size() >= MOST_SUBMITTERS) {
-            UserAnswers.refuse(call);
+            UserAnswers.refuse(call.call());
         } else {
             begin(id, true).add(call);
             verifySoon();
         }
     }
 
-    /** The state of a job that is over, as far as it is known here; it never changes again. */
-    private JobStatus finalState(String id) {
-        JobStatus end = finals.of(id);
-        if (end != null) {
-            return end;
-        }
-        JobRecord job = view.job(id);
-        return job != null && job.cancelled() ? job.status() : null;
-    }
-
     private StatusQuery begin(String id, boolean ofSubmitter) {
         int keys = view.job(id) == null ? KEYS_OF_UNKNOWN_JOB : 1;
-        StatusQuery query = new StatusQuery(id, ofSubmitter, keys, metrics);
+        StatusQuery query = new StatusQuery(id, ofSubmitter, keys, answers, metrics);
         queueOf(query).addLast(query);
         queuedKeys += keys;
         query.onEnd(loop.after(PATIENCE, () -> {
@@ -183,7 +176,7 @@
         ledger.verify(batch.keys(), verification -> {
             inFlight.remove(sent);
             switch (verification.kind()) {
-                case COMPARED -> batch.known().forEach((query, status) -> settle(query, status, verification.stale()));
+                case COMPARED -> settle(batch, verification, sent);
                 case BUSY -> askAgain(batch);
                 case FAILED -> batch.known().keySet().forEach(StatusQuery::refuse);
             }
@@ -207,9 +200,9 @@
 
     private void addTo(Batch batch, StatusQuery query) {
         String id = query.id();
-        JobStatus end = finalState(id);
+        JobStatus end = finals.of(id);
         if (end != null) {
-            query.answer(end);
+            query.answer(JobFinding.ofFinalState(end));
             return;
         }
         JobRecord job = view.job(id);
@@ -220,7 +213,14 @@
         }
     }
 
-    private void settle(StatusQuery query, JobStatus known, Set<String> stale) {
+    private void settle(Batch batch, Verification verification, Instant sent) {
+        Evidence evidence = new Evidence(Evidence.Source.VERIFICATION, verification.revision(), sent);
+        batch.known()
+                .forEach((query, status) ->
+                        settle(query, new JobFinding(query.id(), status, evidence), verification.stale()));
+    }
+
+    private void settle(StatusQuery query, JobFinding known, Set<String> stale) {
         String id = query.id();
         boolean ended = stale.contains(Keys.ended(id));
         if (!ended && !stale.contains(Keys.job(id))) {
--- a/src/main/java/org/gullway/StatusQuery.java
+++ b/src/main/java/org/gullway/StatusQuery.java
@@ -2,17 +2,15 @@
 
 import java.util.ArrayList;
 import java.util.List;
-import org.gullway.protocol.Cbor;
-import org.gullway.protocol.JobStatus;
-import org.gullway.transport.Call;
 
 /** One job that users ask about, with all calls that wait for the same answer. */
 final class StatusQuery {
     private final String id;
     private final boolean ofSubmitter;
     private final int keys;
+    private final StateAnswers answers;
     private final Metrics metrics;
-    private final List<Call> calls = new ArrayList<>();
+    private final List<UserCall> calls = new ArrayList<>();
     private Runnable stopTimer = () -> {};
     private boolean over;
     private int timesStale;
@@ -21,10 +19,11 @@
      * @param ofSubmitter whether it comes from a user who submits the job again
      * @param keys how many keys its verification compares
      */
-    StatusQuery(String id, boolean ofSubmitter, int keys, Metrics metrics) {
+    StatusQuery(String id, boolean ofSubmitter, int keys, StateAnswers answers, Metrics metrics) {
         this.id = id;
         this.ofSubmitter = ofSubmitter;
         this.keys = keys;
+        this.answers = answers;
         this.metrics = metrics;
     }
 
@@ -45,7 +44,7 @@
         return over;
     }
 
-    void add(Call call) {
+    void add(UserCall call) {
         calls.add(call);
     }
 
@@ -59,18 +58,17 @@
         return ++timesStale;
     }
 
-    /** Tells all who wait the state of the job; null if there is no such job. */
-    void answer(JobStatus status) {
+    /** Tells all who wait what was found out. */
+    void answer(JobFinding found) {
         if (end(true)) {
-            byte[] body = status == null ? new byte[0] : Cbor.encode(status.toNode());
-            calls.forEach(call -> call.answer(status == null ? 404 : 200, body));
+            calls.forEach(call -> answers.answerQuestion(call, found));
         }
     }
 
     /** Refuses all who wait for now. */
     void refuse() {
         if (end(false)) {
-            calls.forEach(UserAnswers::refuse);
+            calls.forEach(call -> UserAnswers.refuse(call.call()));
         }
     }
 
--- a/src/main/java/org/gullway/Submissions.java
+++ b/src/main/java/org/gullway/Submissions.java
@@ -16,7 +16,6 @@
 import org.gullway.coordination.Transaction;
 import org.gullway.protocol.Cbor;
 import org.gullway.protocol.JobRequest;
-import org.gullway.protocol.JobStatus;
 import org.gullway.protocol.MachineType;
 import org.gullway.protocol.MalformedException;
 import org.gullway.transport.Call;
@@ -29,6 +28,7 @@
     private static final Logger LOG = LoggerFactory.getLogger(Submissions.class);
     private static final Duration PATIENCE = Duration.ofSeconds(2);
     private static final int MOST_PENDING = 500;
+    private static final String IMPOSSIBLE = "no machine type, zone or team limit allows this job";
 
     private final EventLoop loop;
     private final ClusterView view;
@@ -39,10 +39,11 @@
     private final FinalStates finals;
     private final JobLookUps lookUps;
     private final StatusQueries queries;
+    private final StateAnswers answers;
     private final Runnable changed;
     private final Map<String, Submission> pending = new LinkedHashMap<>();
 
-    private record Submission(JobRequest request, Instant came, List<Call> calls) {}
+    private record Submission(JobRequest request, Instant came, List<UserCall> calls) {}
 
     /** @param changed asks for a round of decisions */
     Submissions(
@@ -55,6 +56,7 @@
             FinalStates finals,
             JobLookUps lookUps,
             StatusQueries queries,
+            StateAnswers answers,
             Runnable changed) {
         this.loop = loop;
         this.view = view;
@@ -65,27 +67,28 @@
         this.finals = finals;
         this.lookUps = lookUps;
         this.queries = queries;
+        this.answers = answers;
         this.changed = changed;
     }
 
     /** Reads a submission and answers it, at once or when the job is on record. */
-    void submit(Call call) {
+    void submit(UserCall call) {
         JobRequest request;
         try {
-            request = read(call);
+            request = read(call.call());
         } catch (MalformedException e) {
-            UserAnswers.complain(call, 400, e.getMessage());
+            UserAnswers.complain(call.call(), 400, e.getMessage());
             return;
         }
         String id = request.id();
         if (!ledger.entitled() || placing.types().isEmpty()) {
-            UserAnswers.refuse(call);
+            UserAnswers.refuse(call.call());
         } else if (view.job(id) != null || finals.contains(id)) {
             queries.tellSubmitter(id, call);
         } else if (!placing.possible(request)) {
             refuseUnlessAccepted(id, call);
         } else if (pending.size() >= MOST_PENDING) {
-            call.refuse(429, UserAnswers.RETRY_AFTER.multipliedBy(2));
+            call.call().refuse(429, UserAnswers.RETRY_AFTER.multipliedBy(2));
         } else {
             enqueue(request, call);
         }
@@ -99,19 +102,12 @@
     }
 
     /** A job accepted earlier is never refused; only the store can say that it was not. */
-    private void refuseUnlessAccepted(String id, Call call) {
-        lookUps.lookUp(id, found -> refuseUnless(found, call), () -> UserAnswers.refuse(call));
+    private void refuseUnlessAccepted(String id, UserCall call) {
+        lookUps.lookUp(
+                id, found -> answers.answerImpossible(call, found, IMPOSSIBLE), () -> UserAnswers.refuse(call.call()));
     }
 
-    private static void refuseUnless(JobStatus found, Call call) {
-        if (found == null) {
-            UserAnswers.complain(call, 422, "no machine type, zone or team limit allows this job");
-        } else {
-            UserAnswers.status(call, found);
-        }
-    }
-
-    private void enqueue(JobRequest request, Call call) {
+    private void enqueue(JobRequest request, UserCall call) {
         pending.computeIfAbsent(
                         request.id(), i -> new Submission(withKnownTypes(request), loop.now(), new ArrayList<>()))
                 .calls()
@@ -164,20 +160,33 @@
         }
     }
 
-    /** The record of this job has been committed: its user is told if it is a new one. */
-    void committed(JobRecord job) {
-        Submission submission = pending.remove(job.request().id());
+    /**
+     * The record of this job has been committed. That answers the submissions that came before the commit was sent; the
+     * answer to a commit can come late, after the job was cancelled and submitted again (incident went-back-384079), so
+     * all others are told what the job's state is by now.
+     */
+    void committed(JobRecord job, Evidence evidence) {
+        String id = job.request().id();
+        Submission submission = pending.remove(id);
         if (submission == null) {
             return;
         }
-        Duration took = Duration.between(submission.came(), loop.now());
-        LOG.debug(
-                "{} of {} accepted after {}", job.request().id(), job.request().jobClass(), took);
+        boolean newest = view.mark(Keys.job(id)) == evidence.revision();
+        JobFinding found = new JobFinding(id, job.status(), evidence);
+        for (UserCall call : submission.calls()) {
+            if (newest && evidence.covers(call.came())) {
+                accepted(job, call, found);
+            } else {
+                queries.tellSubmitter(id, call);
+            }
+        }
+    }
+
+    private void accepted(JobRecord job, UserCall call, JobFinding found) {
+        Duration took = Duration.between(call.came(), loop.now());
+        LOG.debug("{} of {} accepted after {}", found.id(), job.request().jobClass(), took);
         metrics.accepted(took);
-        byte[] body = Cbor.encode(Cbor.map()
-                .put("name_id", job.request().id())
-                .put("tide", job.state().wire()));
-        submission.calls().forEach(call -> call.answer(201, body));
+        answers.answerAccepted(call, found);
     }
 
     /** Answers submissions of jobs that turned out to have ended before. */
@@ -198,7 +207,7 @@
             if (view.job(id) != null) {
                 pending.remove(id).calls().forEach(call -> queries.tellSubmitter(id, call));
             } else if (!entitled || submission.came().plus(PATIENCE).isBefore(now)) {
-                pending.remove(id).calls().forEach(UserAnswers::refuse);
+                pending.remove(id).calls().forEach(call -> UserAnswers.refuse(call.call()));
             }
         }
     }
--- a/src/main/java/org/gullway/UserAnswers.java
+++ b/src/main/java/org/gullway/UserAnswers.java
@@ -5,7 +5,7 @@
 import org.gullway.protocol.JobStatus;
 import org.gullway.transport.Call;
 
-/** The forms in which users are answered. */
+/** Forms of answers to users, except those that tell the state of a job: see {@link StateAnswers}. */
 final class UserAnswers {
     /** When a user who was refused for now may come again. */
     static final Duration RETRY_AFTER = Duration.ofSeconds(1);
@@ -14,41 +14,30 @@
 
     private UserAnswers() {}
 
-    /** Tells the whole state of a job. */
-    static void status(Call call, JobStatus status) {
-        call.answer(200, Cbor.encode(status.toNode()));
+    /** The state of a job without counts of its tasks. */
+    static byte[] state(JobStatus status) {
+        return Cbor.encode(Cbor.map()
+                .put("name_id", status.id())
+                .put("tide", status.state().wire()));
     }
 
-    /** Tells the state of a job without counts of its tasks, as a cancellation is answered. */
-    static void state(Call call, JobStatus status) {
-        call.answer(
-                200,
-                Cbor.encode(Cbor.map()
-                        .put("name_id", status.id())
-                        .put("tide", status.state().wire())));
+    /** The reason of a refusal. */
+    static byte[] error(String why) {
+        return Cbor.encode(Cbor.map().put("error", why));
     }
 
-    /** Says that there is no such job. */
-    static void unknown(Call call) {
+    /** Says of something that is no job id that there is no such job. */
+    static void notAnId(Call call) {
         call.answer(404, EMPTY);
     }
 
     /** Refuses for good and says why. */
     static void complain(Call call, int status, String why) {
-        call.answer(status, Cbor.encode(Cbor.map().put("error", why)));
+        call.answer(status, error(why));
     }
 
     /** Refuses for now. */
     static void refuse(Call call) {
         call.refuse(503, RETRY_AFTER);
     }
-
-    /** Tells what was found in the store: the whole state of a job, or that there is no such job. */
-    static void found(Call call, JobStatus status) {
-        if (status == null) {
-            unknown(call);
-        } else {
-            status(call, status);
-        }
-    }
 }
--- a/src/main/java/org/gullway/UserApi.java
+++ b/src/main/java/org/gullway/UserApi.java
@@ -19,7 +19,8 @@
  * final is told before the store has confirmed that it is still the newest.
  */
 final class UserApi {
-    private final FinalStates finals = new FinalStates();
+    private final EventLoop loop;
+    private final FinalStates finals;
     private final StatusQueries queries;
     private final Submissions submissions;
     private final CancellationRequests cancellations;
@@ -37,25 +38,33 @@
             Metrics metrics,
             int guardsPerCommit,
             CancelledTasks cancelled,
+            InvariantMonitor invariants,
             Runnable changed) {
+        this.loop = loop;
+        this.finals = new FinalStates(view);
+        StateAnswers answers = new StateAnswers(loop, finals::of, invariants);
         JobLookUps forQuestions = new JobLookUps(loop, ledger.store(), ledger.questionReads(), finals, cancelled);
         JobLookUps lookUps = new JobLookUps(loop, ledger.store(), ledger.requestReads(), finals, cancelled);
-        this.queries = new StatusQueries(loop, view, ledger, finals, forQuestions, metrics, guardsPerCommit);
-        this.submissions =
-                new Submissions(loop, view, ledger, placing, random, metrics, finals, lookUps, queries, changed);
-        this.cancellations = new CancellationRequests(loop, view, ledger, finals, lookUps, changed);
+        this.queries = new StatusQueries(loop, view, ledger, finals, forQuestions, answers, metrics, guardsPerCommit);
+        this.submissions = new Submissions(
+                loop, view, ledger, placing, random, metrics, finals, lookUps, queries, answers, changed);
+        this.cancellations = new CancellationRequests(loop, view, ledger, finals, lookUps, answers, changed);
     }
 
     void submit(Call call) {
-        submissions.submit(call);
+        submissions.submit(arrived(call));
     }
 
     void cancel(String id, Call call) {
-        cancellations.cancel(id, call);
+        cancellations.cancel(id, arrived(call));
     }
 
     void poll(String id, Call call) {
-        queries.poll(id, call);
+        queries.poll(id, arrived(call));
+    }
+
+    private UserCall arrived(Call call) {
+        return new UserCall(call, loop.now());
     }
 
     // Part in the rounds of decisions
@@ -66,14 +75,19 @@
         submissions.propose(draft, timeOfDay);
     }
 
-    /** Tells the users of jobs that the draft, which has been committed, accepted or ended. */
-    void committed(Transaction draft) {
+    /**
+     * Tells the users of jobs that the draft, which has been committed, accepted or ended.
+     *
+     * @param sent when the commit was sent
+     */
+    void committed(Transaction draft, long revision, Instant sent) {
+        Evidence evidence = new Evidence(Evidence.Source.COMMIT, revision, sent);
         draft.changes().forEach((key, value) -> {
             if (value instanceof Transaction.Ended end) {
                 String id = key.substring(Keys.ended("").length());
                 finals.remember(new JobStatus(id, end.state(), end.done(), 0));
             } else if (key.startsWith(Keys.JOBS) && value instanceof JobRecord job) {
-                submissions.committed(job);
+                submissions.committed(job, evidence);
             }
         });
         settle();
--- a/src/main/java/org/gullway/bookkeeping/CommitQueue.java
+++ b/src/main/java/org/gullway/bookkeeping/CommitQueue.java
@@ -41,7 +41,7 @@
     private Instant busyUntil = Instant.MIN;
 
     /** A commit on its way, with the membership and the marks under which it was sent. */
-    private record Sent(Transaction draft, long lease, int term, long knownTo, Map<String, Long> marks) {}
+    private record Sent(Transaction draft, Instant at, long lease, int term, long knownTo, Map<String, Long> marks) {}
 
     CommitQueue(
             EventLoop loop,
@@ -101,15 +101,18 @@
         requests.spend(1);
         Map<String, Long> marks = new HashMap<>();
         draft.guards().forEach(key -> marks.put(key, view.mark(key)));
-        Sent sent = new Sent(draft, member.lease(), member.term(), view.watched(), marks);
+        Sent sent = new Sent(draft, loop.now(), member.lease(), member.term(), view.watched(), marks);
         store.commit(draft.guards(), marks::get, draft.changes(), sent.lease(), outcome -> {
             if (outcome.is(200)) {
+                if (LOG.isDebugEnabled()) {
+                    logCarriedOut(sent, outcome.revision());
+                }
                 carriedOut(sent, outcome.revision(), callback);
             } else if (outcome.unknown()) {
                 LOG.info("a commit got no answer; writing the member key anew");
                 ruleOut(() -> callback.accept(Ledger.Result.REFUSED));
             } else {
-                callback.accept(new Ledger.Result(false, refused(sent, outcome)));
+                callback.accept(Ledger.Result.refused(refused(sent, outcome)));
             }
         });
     }
@@ -119,10 +122,19 @@
         refusals.clear();
         sent.draft().changes().forEach((key, value) -> applyToView(key, value, revision));
         pauseFor(requests.pause());
-        callback.accept(new Ledger.Result(true, Set.of()));
+        callback.accept(Ledger.Result.committed(revision));
         changed.run();
     }
 
+    private void logCarriedOut(Sent sent, long revision) {
+        LOG.debug(
+                "committed at revision {} after {} ms, drafted at revision {}: {}",
+                revision,
+                Duration.between(sent.at(), loop.now()).toMillis(),
+                sent.knownTo(),
+                sent.draft().changes().keySet());
+    }
+
     private void applyToView(String key, Object value, long revision) {
         if (value == null) {
             view.remove(key, revision);
@@ -161,7 +173,7 @@
     }
 
     private void guardsFailed(Sent sent, Set<String> failed, long revision) {
-        LOG.debug("guards failed: {}", failed);
+        LOG.debug("guards failed at revision {}, drafted at {}: {}", revision, sent.knownTo(), failed);
         if (failed.contains(member.key()) && sent.lease() == member.lease()) {
             member.join();
             return;
--- a/src/main/java/org/gullway/bookkeeping/Ledger.java
+++ b/src/main/java/org/gullway/bookkeeping/Ledger.java
@@ -18,9 +18,22 @@
  * member key anew: every commit is guarded by that key's mark. Only then does the next commit go out.
  */
 public final class Ledger {
-    /** What became of a draft; one that was not committed never will be, and {@code failed} names guards that failed. */
-    public record Result(boolean committed, Set<String> failed) {
-        static final Result REFUSED = new Result(false, Set.of());
+    /**
+     * What became of a draft; one that was not committed never will be.
+     *
+     * @param failed guards that failed
+     * @param revision of the state service at which it was committed
+     */
+    public record Result(boolean committed, Set<String> failed, long revision) {
+        static final Result REFUSED = refused(Set.of());
+
+        static Result committed(long revision) {
+            return new Result(true, Set.of(), revision);
+        }
+
+        static Result refused(Set<String> failed) {
+            return new Result(false, failed, 0);
+        }
     }
 
     /** What the state service allows all controllers together, and how many they are. */
--- a/src/main/java/org/gullway/bookkeeping/StateStore.java
+++ b/src/main/java/org/gullway/bookkeeping/StateStore.java
@@ -52,8 +52,9 @@
                                             && status != 503);
         }
 
-        long revision() {
-            return body == null ? 0 : body.path("logline").asLong();
+        /** Revision of the state service at which the answer holds, or that of a single key; 0 if it names none. */
+        public long revision() {
+            return body == null ? 0 : body.path("logline").asLong(mark(body));
         }
 
         /** The keys whose guards a refused commit names; to be asked only of an outcome with a body. */
--- a/src/main/java/org/gullway/coordination/MachineControl.java
+++ b/src/main/java/org/gullway/coordination/MachineControl.java
@@ -114,6 +114,11 @@
         public boolean starts() {
             return commands.stream().anyMatch(c -> c.kind() == Command.Kind.START);
         }
+
+        /** The same with these commands instead. */
+        public Push with(List<Command> others) {
+            return new Push(machine, address, token, session, others, sent);
+        }
     }
 
     private Worker worker(String machine, Instant now) {
--- a/src/test/java/org/gullway/JobLookUpsTest.java
+++ b/src/test/java/org/gullway/JobLookUpsTest.java
@@ -28,7 +28,7 @@
             loop,
             new StateStore(network.client("perch-0", loop), STATE),
             new Budget(loop, 4, 1),
-            new FinalStates(),
+            new FinalStates(new ClusterView()),
             new CancelledTasks(new ClusterView(), Duration.ofSeconds(30)));
     private final List<String> found = new ArrayList<>();
     private boolean accepted;
@@ -47,7 +47,7 @@
     }
 
     private void lookUp(String id) {
-        lookUps.lookUp(id, status -> found.add(text(status)), () -> found.add("refused"));
+        lookUps.lookUp(id, finding -> found.add(text(finding.status())), () -> found.add("refused"));
     }
 
     private static String text(JobStatus status) {
--- a/src/test/java/org/gullway/SimulatedWorld.java
+++ b/src/test/java/org/gullway/SimulatedWorld.java
@@ -335,6 +335,7 @@
         InstantSource clock = () -> MORNING.plusMillis(skew).plus(Duration.between(Instant.EPOCH, time.now()));
         Controller controller = new Controller(
                 settings, OperatorSettings.DEFAULTS, process, network.client(name, process), clock, random.nextLong());
+        controller.onInvariantViolated(violation -> broken.add("invariant: " + violation));
         network.listen(settings.meshAddress(), process, controller::answerPeer);
         controller.start(() -> network.listen(
                 settings.publicAddress(), process, call -> controller.answer(answers.logged(name, call))));
--- /dev/null
+++ b/src/test/java/org/gullway/StateAnswersTest.java
@@ -0,0 +1,93 @@
+package org.gullway;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import java.time.Duration;
+import java.time.Instant;
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.function.BiFunction;
+import net.jqwik.api.ForAll;
+import net.jqwik.api.Property;
+import net.jqwik.api.constraints.IntRange;
+import org.gullway.fake.SimulatedNetwork;
+import org.gullway.fake.SimulatedTime;
+import org.gullway.protocol.JobState;
+import org.gullway.protocol.JobStatus;
+import org.gullway.transport.Reply;
+import org.junit.jupiter.api.Test;
+
+/** Every form of answer with a state is refused for now, and reported, if its evidence is older than the request. */
+class StateAnswersTest {
+    private static final String JOB = "run-000001";
+    private static final Instant CAME = Instant.EPOCH.plusSeconds(10);
+    private static final JobStatus PENDING = new JobStatus(JOB, JobState.PENDING, 0, 0);
+    private static final JobStatus CANCELLED = new JobStatus(JOB, JobState.CANCELLED, 0, 0);
+
+    private final Map<String, JobStatus> finals = new HashMap<>();
+    private final List<String> violations = new ArrayList<>();
+    private final InvariantMonitor invariants = new InvariantMonitor(new Metrics());
+    private final StateAnswers answers = new StateAnswers(new SimulatedTime().process(), finals::get, invariants);
+    /** The forms that can also say that there is no such job. */
+    private final List<BiFunction<UserCall, JobFinding, Boolean>> forms = List.of(
+            answers::answerQuestion,
+            answers::answerCancellation,
+            (call, found) -> answers.answerImpossible(call, found, "too large"));
+
+    StateAnswersTest() {
+        invariants.listen(violations::add);
+    }
+
+    private List<BiFunction<UserCall, JobFinding, Boolean>> allForms() {
+        List<BiFunction<UserCall, JobFinding, Boolean>> all = new ArrayList<>(forms);
+        all.add(answers::answerAccepted);
+        return all;
+    }
+
+    private int status(BiFunction<UserCall, JobFinding, Boolean> form, JobFinding found) {
+        List<Integer> statuses = new ArrayList<>();
+        SimulatedNetwork.Message call = new SimulatedNetwork.Message(
+                "users", "GET", "/v2/runs/" + JOB, "", new byte[0], (Reply reply) -> statuses.add(reply.status()));
+        boolean told = form.apply(new UserCall(call, CAME), found);
+        assertThat(statuses).as("answered once").hasSize(1);
+        assertThat(told).isEqualTo(statuses.get(0) != 503);
+        return statuses.get(0);
+    }
+
+    private static JobFinding found(JobStatus status, Instant validFrom) {
+        return new JobFinding(JOB, status, new Evidence(Evidence.Source.VERIFICATION, 7, validFrom));
+    }
+
+    @Property(tries = 60, seed = "241")
+    void anAnswerIsAllowedJustIfItsEvidenceIsNotOlderThanTheRequest(
+            @ForAll @IntRange(min = -5, max = 5) int millis, @ForAll boolean known) {
+        JobFinding found = found(known ? PENDING : null, CAME.plusMillis(millis));
+        for (BiFunction<UserCall, JobFinding, Boolean> form : known ? allForms() : forms) {
+            violations.clear();
+            int status = status(form, found);
+            if (millis < 0) {
+                assertThat(status).isEqualTo(503);
+                assertThat(violations).singleElement().asString().contains(JOB, "VERIFICATION of revision 7");
+            } else {
+                assertThat(status).isNotEqualTo(503);
+                assertThat(violations).isEmpty();
+            }
+        }
+    }
+
+    @Test
+    void aFinalStateIsToldWhateverItsAgeAndReplacesAnOlderFinding() {
+        for (BiFunction<UserCall, JobFinding, Boolean> form : allForms()) {
+            assertThat(status(form, JobFinding.ofFinalState(CANCELLED))).isEqualTo(200);
+        }
+        finals.put(JOB, CANCELLED);
+        for (BiFunction<UserCall, JobFinding, Boolean> form : forms) {
+            assertThat(status(form, found(PENDING, CAME.minus(Duration.ofSeconds(1)))))
+                    .isEqualTo(200);
+            assertThat(status(form, found(null, CAME.plusSeconds(1)))).isEqualTo(200);
+        }
+        assertThat(violations).isEmpty();
+    }
+}
