Users' requests have a package of their own

Cause: the classes of users' requests were mixed with those of the controller. Change: org.gullway.requests, which no other package but the controller's uses; metrics and invariants come in by interfaces.

--- a/src/main/java/org/gullway/Controller.java
+++ b/src/main/java/org/gullway/Controller.java
@@ -35,6 +35,7 @@
 import org.gullway.coordination.Transaction;
 import org.gullway.protocol.OperatorSettings;
 import org.gullway.protocol.Settings;
+import org.gullway.requests.UserApi;
 import org.gullway.transport.Call;
 import org.gullway.transport.Client;
 import org.gullway.transport.EventLoop;
@@ -174,7 +175,7 @@
                 metrics,
                 4 * settings.stateChangesPerCommit(),
                 cancelled,
-                invariants,
+                invariants::violated,
                 this::schedule);
     }
 
--- a/src/main/java/org/gullway/DecisionRound.java
+++ b/src/main/java/org/gullway/DecisionRound.java
@@ -11,6 +11,7 @@
 import org.gullway.coordination.Incarnation;
 import org.gullway.coordination.Keys;
 import org.gullway.coordination.Transaction;
+import org.gullway.requests.UserApi;
 import org.gullway.transport.EventLoop;
 
 /** Lets every step add its changes to one draft, within a budget of time, and commits it. */
--- a/src/main/java/org/gullway/Metrics.java
+++ b/src/main/java/org/gullway/Metrics.java
@@ -8,11 +8,12 @@
 import java.util.concurrent.TimeUnit;
 import org.HdrHistogram.Histogram;
 import org.gullway.coordination.Keys;
+import org.gullway.requests.RequestMetrics;
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
 
 /** Counts and latencies, logged in one line for each interval. */
-final class Metrics {
+final class Metrics implements RequestMetrics {
     private static final Logger LOG = LoggerFactory.getLogger(Metrics.class);
     private static final long LONGEST_MS = 60_000;
 
@@ -35,7 +36,8 @@
         histogram.recordValue(Math.min(LONGEST_MS, Math.max(0, TimeUnit.NANOSECONDS.toMillis(time.toNanos()))));
     }
 
-    void accepted(Duration time) {
+    @Override
+    public void accepted(Duration time) {
         record(acceptance, time);
     }
 
@@ -60,8 +62,8 @@
         offers.increment();
     }
 
-    /** So many questions of users were answered, or refused for now. */
-    void questions(boolean answered, int count) {
+    @Override
+    public void questions(boolean answered, int count) {
         (answered ? questionsAnswered : questionsRefused).increment(count);
     }
 
--- a/src/main/java/org/gullway/RequestRouter.java
+++ b/src/main/java/org/gullway/RequestRouter.java
@@ -3,6 +3,7 @@
 import java.time.Duration;
 import java.util.function.BooleanSupplier;
 import org.gullway.coordination.LeaseRenewalPolicy;
+import org.gullway.requests.UserApi;
 import org.gullway.transport.Call;
 import org.gullway.transport.EventLoop;
 
--- a/src/main/java/org/gullway/CancellationRequests.java
+++ b/src/main/java/org/gullway/requests/CancellationRequests.java
@@ -1,4 +1,4 @@
-package org.gullway;
+package org.gullway.requests;
 
 import java.time.Duration;
 import java.time.Instant;
--- a/src/main/java/org/gullway/JobFinding.java
+++ b/src/main/java/org/gullway/requests/JobFinding.java
@@ -1,4 +1,4 @@
-package org.gullway;
+package org.gullway.requests;
 
 import org.gullway.protocol.JobStatus;
 
--- a/src/main/java/org/gullway/JobLookUps.java
+++ b/src/main/java/org/gullway/requests/JobLookUps.java
@@ -1,4 +1,4 @@
-package org.gullway;
+package org.gullway.requests;
 
 import com.fasterxml.jackson.databind.JsonNode;
 import java.time.Duration;
--- a/src/main/java/org/gullway/StateAnswers.java
+++ b/src/main/java/org/gullway/requests/StateAnswers.java
@@ -1,7 +1,8 @@
-package org.gullway;
+package org.gullway.requests;
 
 import java.time.Duration;
 import java.time.Instant;
+import java.util.function.Consumer;
 import java.util.function.Function;
 import org.gullway.protocol.Cbor;
 import org.gullway.protocol.JobStatus;
@@ -20,13 +21,16 @@
 
     private final EventLoop loop;
     private final Function<String, JobStatus> finalState;
-    private final InvariantMonitor invariants;
+    private final Consumer<String> violated;
 
-    /** @param finalState the final state of a job, as far as it is known here; null for any other job */
-    StateAnswers(EventLoop loop, Function<String, JobStatus> finalState, InvariantMonitor invariants) {
+    /**
+     * @param finalState the final state of a job, as far as it is known here; null for any other job
+     * @param violated is told of answers that were withheld since their evidence was too old
+     */
+    StateAnswers(EventLoop loop, Function<String, JobStatus> finalState, Consumer<String> violated) {
         this.loop = loop;
         this.finalState = finalState;
-        this.invariants = invariants;
+        this.violated = violated;
     }
 
     /** Answers a question: 200 with the whole state, or 404. */
@@ -67,7 +71,7 @@
     private boolean answer(UserCall call, JobFinding found, Function<JobStatus, Answer> form) {
         JobFinding newest = newest(found);
         if (!newest.evidence().covers(call.came())) {
-            invariants.violated(describe(newest, call));
+            violated.accept(describe(newest, call));
             UserAnswers.refuse(call.call());
             return false;
         }
--- a/src/main/java/org/gullway/StatusQueries.java
+++ b/src/main/java/org/gullway/requests/StatusQueries.java
@@ -1,4 +1,4 @@
-package org.gullway;
+package org.gullway.requests;
 
 import java.time.Duration;
 import java.time.Instant;
@@ -45,7 +45,7 @@
     private final FinalStates finals;
     private final JobLookUps lookUps;
     private final StateAnswers answers;
-    private final Metrics metrics;
+    private final RequestMetrics metrics;
     private final int keysPerRequest;
     /** Users who repeat a submission come before those who only ask. */
     private final Deque<StatusQuery> submitters = new ArrayDeque<>();
@@ -72,7 +72,7 @@
             FinalStates finals,
             JobLookUps lookUps,
             StateAnswers answers,
-            Metrics metrics,
+            RequestMetrics metrics,
             int guardsPerCommit) {
         this.loop = loop;
         this.view = view;
--- a/src/main/java/org/gullway/StatusQuery.java
+++ b/src/main/java/org/gullway/requests/StatusQuery.java
@@ -1,4 +1,4 @@
-package org.gullway;
+package org.gullway.requests;
 
 import java.util.ArrayList;
 import java.util.List;
@@ -9,7 +9,7 @@
     private final boolean ofSubmitter;
     private final int keys;
     private final StateAnswers answers;
-    private final Metrics metrics;
+    private final RequestMetrics metrics;
     private final List<UserCall> calls = new ArrayList<>();
     private Runnable stopTimer = () -> {};
     private boolean over;
@@ -19,7 +19,7 @@
      * @param ofSubmitter whether it comes from a user who submits the job again
      * @param keys how many keys its verification compares
      */
-    StatusQuery(String id, boolean ofSubmitter, int keys, StateAnswers answers, Metrics metrics) {
+    StatusQuery(String id, boolean ofSubmitter, int keys, StateAnswers answers, RequestMetrics metrics) {
         this.id = id;
         this.ofSubmitter = ofSubmitter;
         this.keys = keys;
--- a/src/main/java/org/gullway/Submissions.java
+++ b/src/main/java/org/gullway/requests/Submissions.java
@@ -1,4 +1,4 @@
-package org.gullway;
+package org.gullway.requests;
 
 import java.time.Duration;
 import java.time.Instant;
@@ -35,7 +35,7 @@
     private final Ledger ledger;
     private final PlacementConstraints placing;
     private final RandomGenerator random;
-    private final Metrics metrics;
+    private final RequestMetrics metrics;
     private final FinalStates finals;
     private final JobLookUps lookUps;
     private final StatusQueries queries;
@@ -52,7 +52,7 @@
             Ledger ledger,
             PlacementConstraints placing,
             RandomGenerator random,
-            Metrics metrics,
+            RequestMetrics metrics,
             FinalStates finals,
             JobLookUps lookUps,
             StatusQueries queries,
--- a/src/main/java/org/gullway/UserApi.java
+++ b/src/main/java/org/gullway/requests/UserApi.java
@@ -1,7 +1,8 @@
-package org.gullway;
+package org.gullway.requests;
 
 import java.time.Instant;
 import java.util.Set;
+import java.util.function.Consumer;
 import java.util.random.RandomGenerator;
 import org.gullway.bookkeeping.Ledger;
 import org.gullway.coordination.CancelledTasks;
@@ -18,7 +19,7 @@
  * Users' submissions, questions and cancellations. Nothing is told that is not on record, and no state that is not
  * final is told before the store has confirmed that it is still the newest.
  */
-final class UserApi {
+public final class UserApi {
     private final EventLoop loop;
     private final FinalStates finals;
     private final StatusQueries queries;
@@ -27,22 +28,23 @@
 
     /**
      * @param guardsPerCommit how many keys one request to the state service may compare
+     * @param violated is told of answers that were withheld since their evidence was too old
      * @param changed asks for a round of decisions
      */
-    UserApi(
+    public UserApi(
             EventLoop loop,
             ClusterView view,
             Ledger ledger,
             PlacementConstraints placing,
             RandomGenerator random,
-            Metrics metrics,
+            RequestMetrics metrics,
             int guardsPerCommit,
             CancelledTasks cancelled,
-            InvariantMonitor invariants,
+            Consumer<String> violated,
             Runnable changed) {
         this.loop = loop;
         this.finals = new FinalStates(view);
-        StateAnswers answers = new StateAnswers(loop, finals::of, invariants);
+        StateAnswers answers = new StateAnswers(loop, finals::of, violated);
         JobLookUps forQuestions = new JobLookUps(loop, ledger.store(), ledger.questionReads(), finals, cancelled);
         JobLookUps lookUps = new JobLookUps(loop, ledger.store(), ledger.requestReads(), finals, cancelled);
         this.queries = new StatusQueries(loop, view, ledger, finals, forQuestions, answers, metrics, guardsPerCommit);
@@ -51,15 +53,18 @@
         this.cancellations = new CancellationRequests(loop, view, ledger, finals, lookUps, answers, changed);
     }
 
-    void submit(Call call) {
+    /** Answers a submission, at once or when the job is on record. */
+    public void submit(Call call) {
         submissions.submit(arrived(call));
     }
 
-    void cancel(String id, Call call) {
+    /** Answers a cancellation. */
+    public void cancel(String id, Call call) {
         cancellations.cancel(id, arrived(call));
     }
 
-    void poll(String id, Call call) {
+    /** Answers a question about a job. */
+    public void poll(String id, Call call) {
         queries.poll(id, arrived(call));
     }
 
@@ -70,7 +75,7 @@
     // Part in the rounds of decisions
 
     /** Adds what users have asked for to the draft. */
-    void propose(Transaction draft, Instant timeOfDay) {
+    public void propose(Transaction draft, Instant timeOfDay) {
         cancellations.propose(draft, timeOfDay);
         submissions.propose(draft, timeOfDay);
     }
@@ -80,7 +85,7 @@
      *
      * @param sent when the commit was sent
      */
-    void committed(Transaction draft, long revision, Instant sent) {
+    public void committed(Transaction draft, long revision, Instant sent) {
         Evidence evidence = new Evidence(Evidence.Source.COMMIT, revision, sent);
         draft.changes().forEach((key, value) -> {
             if (value instanceof Transaction.Ended end) {
@@ -94,12 +99,12 @@
     }
 
     /** Takes notice of a draft that was not committed because these guards failed. */
-    void refused(Set<String> failedGuards) {
+    public void refused(Set<String> failedGuards) {
         submissions.refused(failedGuards);
     }
 
     /** Answers what the view answers by now, and gives up what took too long. */
-    void settle() {
+    public void settle() {
         cancellations.settle();
         submissions.settle();
     }
--- a/src/test/java/org/gullway/LayersTest.java
+++ b/src/test/java/org/gullway/LayersTest.java
@@ -19,7 +19,8 @@
             "transport", Set.of(),
             "protocol", Set.of(),
             "coordination", Set.of("protocol"),
-            "bookkeeping", Set.of("coordination", "protocol", "transport"));
+            "bookkeeping", Set.of("coordination", "protocol", "transport"),
+            "requests", Set.of("bookkeeping", "coordination", "protocol", "transport"));
 
     private static List<Path> files(String layer) throws IOException {
         try (Stream<Path> files = Files.list(SOURCES.resolve(layer))) {
--- a/src/test/java/org/gullway/JobLookUpsTest.java
+++ b/src/test/java/org/gullway/requests/JobLookUpsTest.java
@@ -1,4 +1,4 @@
-package org.gullway;
+package org.gullway.requests;
 
 import static org.assertj.core.api.Assertions.assertThat;
 
--- a/src/test/java/org/gullway/StateAnswersTest.java
+++ b/src/test/java/org/gullway/requests/StateAnswersTest.java
@@ -1,4 +1,4 @@
-package org.gullway;
+package org.gullway.requests;
 
 import static org.assertj.core.api.Assertions.assertThat;
 
@@ -28,18 +28,13 @@
 
     private final Map<String, JobStatus> finals = new HashMap<>();
     private final List<String> violations = new ArrayList<>();
-    private final InvariantMonitor invariants = new InvariantMonitor(new Metrics());
-    private final StateAnswers answers = new StateAnswers(new SimulatedTime().process(), finals::get, invariants);
+    private final StateAnswers answers = new StateAnswers(new SimulatedTime().process(), finals::get, violations::add);
     /** The forms that can also say that there is no such job. */
     private final List<BiFunction<UserCall, JobFinding, Boolean>> forms = List.of(
             answers::answerQuestion,
             answers::answerCancellation,
             (call, found) -> answers.answerImpossible(call, found, "too large"));
 
-    StateAnswersTest() {
-        invariants.listen(violations::add);
-    }
-
     private List<BiFunction<UserCall, JobFinding, Boolean>> allForms() {
         List<BiFunction<UserCall, JobFinding, Boolean>> all = new ArrayList<>(forms);
         all.add(answers::answerAccepted);
