--- a/src/test/java/org/gullway/BadInputTest.java
+++ b/src/test/java/org/gullway/BadInputTest.java
@@ -16,7 +16,6 @@
 import net.jqwik.api.Property;
 import net.jqwik.api.lifecycle.BeforeContainer;
 import org.gullway.AnswerLog.Kind;
-import org.gullway.SimulatedWorld.User;
 import org.gullway.coordination.Keys;
 import org.gullway.protocol.Cbor;
 import org.gullway.protocol.JobRequest;
--- a/src/test/java/org/gullway/Fault.java
+++ b/src/test/java/org/gullway/Fault.java
@@ -260,9 +260,9 @@
         void strike(SimulatedWorld world, SplittableRandom random, Duration span) {
             int number = 100_000 + 2 * random.nextInt(400_000);
             world.submitOdd(number);
-            world.users().forEach(SimulatedWorld.User::submitAgain);
+            world.users().forEach(User::submitAgain);
             world.users().stream()
-                    .filter(SimulatedWorld.User::over)
+                    .filter(User::over)
                     .forEach(user -> user.cancelOnce(world.address(node(world, random)), () -> {}));
         }
     };
@@ -282,7 +282,7 @@
     }
 
     private static void cancel(SimulatedWorld world, SplittableRandom random, double share) {
-        world.users().stream().filter(user -> random.nextDouble() < share).forEach(SimulatedWorld.User::cancel);
+        world.users().stream().filter(user -> random.nextDouble() < share).forEach(User::cancel);
     }
 
     private static void cut(SimulatedWorld world, String from, String to, Duration span) {
--- a/src/test/java/org/gullway/FaultCombinationsTest.java
+++ b/src/test/java/org/gullway/FaultCombinationsTest.java
@@ -9,7 +9,6 @@
 import net.jqwik.api.Property;
 import net.jqwik.api.constraints.IntRange;
 import org.gullway.SimulatedWorld.Bounds;
-import org.gullway.SimulatedWorld.User;
 import org.gullway.fake.FakeWorker;
 import org.gullway.protocol.Rank;
 
--- a/src/test/java/org/gullway/FaultsTest.java
+++ b/src/test/java/org/gullway/FaultsTest.java
@@ -120,7 +120,7 @@
         }
         world.run(Duration.ofSeconds(25));
         world.cutZone("b", true);
-        world.after(Duration.ofSeconds(9), () -> world.users().forEach(SimulatedWorld.User::cancel));
+        world.after(Duration.ofSeconds(9), () -> world.users().forEach(User::cancel));
         world.after(Duration.ofSeconds(70), () -> world.cutZone("b", false));
         finishes(world, Duration.ofSeconds(150));
     }
@@ -157,22 +157,22 @@
         }
         world.run(Duration.ofMinutes(13));
         assertThat(world.broken).isEmpty();
-        List<SimulatedWorld.User> large =
+        List<User> large =
                 world.users().stream().filter(u -> u.request.cpus() == 16).toList();
         assertThat(large)
                 .hasSize(6)
                 .allSatisfy(user -> assertThat(user.waited()).isNotNull().isLessThan(Duration.ofMinutes(4)));
         for (String group : List.of("red", "blue", "render", "survey")) {
-            List<SimulatedWorld.User> all = world.users().stream()
+            List<User> all = world.users().stream()
                     .filter(u -> u.request.team().equals(group)
                             || u.request.jobClass().equals(group))
                     .toList();
-            assertThat(2 * all.stream().filter(SimulatedWorld.User::over).count())
+            assertThat(2 * all.stream().filter(User::over).count())
                     .as("served of %s", group)
                     .isGreaterThanOrEqualTo(all.size())
                     .isPositive();
         }
-        assertThat(large.stream().filter(SimulatedWorld.User::over).count()).isGreaterThanOrEqualTo(3);
+        assertThat(large.stream().filter(User::over).count()).isGreaterThanOrEqualTo(3);
     }
 
     /**
@@ -205,7 +205,7 @@
                             Duration.ofSeconds(8)));
         }
         world.run(Duration.ofSeconds(75));
-        List<SimulatedWorld.User> residents = world.users().stream()
+        List<User> residents = world.users().stream()
                 .filter(u -> !u.request.team().equals("guest"))
                 .toList();
         assertThat(residents).hasSize(30);
@@ -239,7 +239,7 @@
             });
         }
         for (int i = 0; i < 40; i++) {
-            world.after(Duration.ofMillis(1100L * i), () -> world.users().forEach(SimulatedWorld.User::askEverywhere));
+            world.after(Duration.ofMillis(1100L * i), () -> world.users().forEach(User::askEverywhere));
         }
         world.after(still.plusSeconds(2), world::calm);
         finishes(world, Duration.ofSeconds(220));
--- a/src/test/java/org/gullway/GuestWorkTest.java
+++ b/src/test/java/org/gullway/GuestWorkTest.java
@@ -29,7 +29,7 @@
         return new SimulatedWorld(seed, new SimulatedWorld.Shape(capacity, teams, Duration.ofSeconds(3), 0));
     }
 
-    private static void assertServed(List<SimulatedWorld.User> users, Duration longestWait) {
+    private static void assertServed(List<User> users, Duration longestWait) {
         assertThat(users)
                 .isNotEmpty()
                 .allSatisfy(user -> assertThat(user.waited()).isNotNull().isLessThan(longestWait));
@@ -63,18 +63,18 @@
         }
         world.run(Duration.ofSeconds(240));
         assertThat(world.broken).isEmpty();
-        List<SimulatedWorld.User> guests = world.users().stream()
+        List<User> guests = world.users().stream()
                 .filter(u -> u.request.team().equals("guest"))
                 .toList();
-        List<SimulatedWorld.User> residents = world.users().stream()
+        List<User> residents = world.users().stream()
                 .filter(u -> !u.request.team().equals("guest"))
                 .toList();
         assertServed(residents, Duration.ofSeconds(40));
         assertServed(guests, Duration.ofMinutes(4));
-        assertThat(residents).allMatch(SimulatedWorld.User::over);
+        assertThat(residents).allMatch(User::over);
         assertThat(guests.stream()
                         .filter(u -> u.request.tasks() == 1)
-                        .filter(SimulatedWorld.User::over)
+                        .filter(User::over)
                         .count())
                 .as("tiny jobs done")
                 .isGreaterThanOrEqualTo(700);
@@ -92,7 +92,7 @@
         for (int i = 1; i <= 720; i++) {
             int number = i;
             world.after(Duration.ofMillis(250L * i), () -> {
-                SimulatedWorld.User user = world.submit(
+                User user = world.submit(
                         number,
                         number % 3 == 0 ? "guest" : "blue",
                         number % 2 == 0 ? Rank.NORMAL : Rank.IDLE,
@@ -134,8 +134,7 @@
         world.run(Duration.ofSeconds(20));
         for (int i = 1; i <= 3; i++) {
             int number = i;
-            SimulatedWorld.User user =
-                    world.submit(number, number == 3 ? "guest" : "blue", Rank.NORMAL, 6, 4, Duration.ofSeconds(2));
+            User user = world.submit(number, number == 3 ? "guest" : "blue", Rank.NORMAL, 6, 4, Duration.ofSeconds(2));
             failing.add(user.request.id());
         }
         world.run(Duration.ofSeconds(150));
@@ -150,7 +149,7 @@
         assertThat(world.started() - failed)
                 .as("starts of others, and at most all tasks of the failing jobs that run now")
                 .isLessThanOrEqualTo(2 * 90 + 3 * 6);
-        world.users().stream().filter(u -> failing.contains(u.request.id())).forEach(SimulatedWorld.User::cancel);
+        world.users().stream().filter(u -> failing.contains(u.request.id())).forEach(User::cancel);
         world.run(Duration.ofSeconds(60));
         assertThat(world.broken).isEmpty();
         assertThat(world.unfinished()).isEmpty();
--- a/src/test/java/org/gullway/HandoverFaultsTest.java
+++ b/src/test/java/org/gullway/HandoverFaultsTest.java
@@ -18,7 +18,6 @@
 import net.jqwik.api.Property;
 import net.jqwik.api.constraints.IntRange;
 import org.gullway.SimulatedWorld.Bounds;
-import org.gullway.SimulatedWorld.User;
 import org.gullway.coordination.Keys;
 import org.gullway.fake.FakeWorker;
 import org.gullway.protocol.Rank;
--- a/src/test/java/org/gullway/LateCommitAnswerTest.java
+++ b/src/test/java/org/gullway/LateCommitAnswerTest.java
@@ -30,14 +30,14 @@
     private static final int SUBMISSIONS = 120;
 
     /** One user of one job, who hears every answer of every controller. */
-    private static final class User {
+    private static final class Submitter {
         private final SimulatedTime time;
         private final SimulatedTime.Process process;
         private final Client client;
         private final List<String> submissionsAfterCancellation = new ArrayList<>();
         private boolean cancelled;
 
-        User(SimulatedWorld world) {
+        Submitter(SimulatedWorld world) {
             this.time = world.time;
             this.process = world.time.process();
             this.client = world.network.client("users", process);
@@ -135,7 +135,7 @@
         return world;
     }
 
-    private static void nothingWentBack(SimulatedWorld world, User user) {
+    private static void nothingWentBack(SimulatedWorld world, Submitter user) {
         user.run(COMMIT_ANSWERED_AFTER.plus(Duration.ofSeconds(8)));
         assertThat(user.submissionsAfterCancellation).contains("200 aborted");
         assertThat(user.submissionsAfterCancellation).allMatch(answer -> isOneOf(answer, "200 aborted", "503 "));
@@ -151,7 +151,7 @@
         SimulatedWorld world = started(seed);
         String slow = world.otherThan(world.leader());
         String other = world.leader();
-        User user = new User(world);
+        Submitter user = new Submitter(world);
         world.store.answerLate((client, call) -> client.equals(slow) && commitsTheJob(call), COMMIT_ANSWERED_AFTER);
         user.submit(world.address(slow), first -> {
             assertThat(first).isEqualTo("200 pending");
@@ -169,7 +169,7 @@
         SimulatedWorld world = started(seed);
         String slow = world.otherThan(world.leader());
         String other = world.leader();
-        User user = new User(world);
+        Submitter user = new Submitter(world);
         world.store.answerLate(
                 (client, call) -> client.equals(slow)
                         && (commitsTheJob(call) || call.path().equals("/watch")),
--- a/src/test/java/org/gullway/QuestionLoadTest.java
+++ b/src/test/java/org/gullway/QuestionLoadTest.java
@@ -10,7 +10,6 @@
 import java.util.function.Consumer;
 import java.util.stream.Stream;
 import org.gullway.AnswerLog.Kind;
-import org.gullway.SimulatedWorld.User;
 import org.gullway.protocol.Cbor;
 import org.gullway.protocol.Rank;
 import org.gullway.transport.Client;
--- a/src/test/java/org/gullway/RuleCheck.java
+++ b/src/test/java/org/gullway/RuleCheck.java
@@ -69,6 +69,10 @@
         this.teams = teams;
     }
 
+    Duration cancelLimit() {
+        return cancelLimit;
+    }
+
     private static String job(String task) {
         return task.substring(0, task.indexOf('/'));
     }
--- a/src/test/java/org/gullway/SimulatedDaysTest.java
+++ b/src/test/java/org/gullway/SimulatedDaysTest.java
@@ -53,7 +53,7 @@
                 if (random.nextInt(6) == 0) {
                     world.after(Duration.ofMillis(random.nextInt(15_000)), () -> world.users().stream()
                             .filter(u -> u.request.id().endsWith(String.format("%06d", number)))
-                            .forEach(SimulatedWorld.User::cancel));
+                            .forEach(User::cancel));
                 }
             });
         }
@@ -103,7 +103,7 @@
         }
         for (int i = 0; i < 10; i++) {
             world.after(Duration.ofSeconds(20 + random.nextInt(500)), () -> world.users()
-                    .forEach(SimulatedWorld.User::submitAgain));
+                    .forEach(User::submitAgain));
         }
         world.run(Duration.ofSeconds(200));
         world.calm();
--- a/src/test/java/org/gullway/SimulatedWorld.java
+++ b/src/test/java/org/gullway/SimulatedWorld.java
@@ -23,7 +23,6 @@
 import org.gullway.protocol.Cbor;
 import org.gullway.protocol.JobRequest;
 import org.gullway.protocol.MachineType;
-import org.gullway.protocol.MalformedException;
 import org.gullway.protocol.OperatorSettings;
 import org.gullway.protocol.Rank;
 import org.gullway.protocol.Settings;
@@ -50,12 +49,8 @@
     private final SimulatedTime.Process world = time.process();
     private final Map<String, SimulatedTime.Process> running = new HashMap<>();
     private final Map<String, String> addresses = new LinkedHashMap<>();
-    private final Map<String, User> users = new LinkedHashMap<>();
+    private final Users users;
     private final Shape shape;
-    private Consumer<User> whenDone = user -> {};
-    private int timesAsOften = 1;
-    private Consumer<User> whenNews = user -> {};
-    private BiPredicate<String, String> failing = (machine, job) -> false;
 
     /** Size of a world: machines of each type, zone and kind, teams, and how often workers report. */
     record Shape(int capacity, Map<String, Settings.Team> teams, Duration report, double trouble) {
@@ -67,156 +62,6 @@
         }
     }
 
-    /** A job with what its user was told. */
-    final class User {
-        final JobRequest request;
-        final Duration runTime;
-        private final Client client;
-        private boolean accepted;
-
-        User(JobRequest request, Duration runTime) {
-            this.request = request;
-            this.runTime = runTime;
-            this.client = network.client("users", world);
-        }
-
-        boolean over() {
-            return rules.over(request.id());
-        }
-
-        private String node() {
-            return List.copyOf(addresses.values()).get(random.nextInt(addresses.size()));
-        }
-
-        void submit() {
-            Instant asked = time.now();
-            client.call(
-                    node(),
-                    Reply.Request.post("/v2/runs", Cbor.encode(request.toNode()), Duration.ofSeconds(5)),
-                    reply -> {
-                        if (reply.status() == 201 || reply.status() == 200) {
-                            boolean news = !accepted;
-                            accepted = true;
-                            acceptedAt = time.now();
-                            rules.accepted(request.id(), time.now());
-                            hear(reply, asked);
-                            if (news) {
-                                whenNews.accept(this);
-                            }
-                            poll();
-                        } else if (reply.status() == 400 || reply.status() == 422) {
-                            broken.add("forgotten: " + request.id() + " was refused with " + reply.status());
-                        } else {
-                            world.after(Duration.ofSeconds(1), this::submit);
-                        }
-                    });
-        }
-
-        /** Asks for the cancellation until it is answered. */
-        void cancel() {
-            if (!over()) {
-                cancelOnce(node(), () -> world.after(Duration.ofSeconds(1), this::cancel));
-            }
-        }
-
-        /** One request, also for a job that is over; it must be answered with the state that was told. */
-        void cancelOnce(String address, Runnable unanswered) {
-            rules.cancelAsked(request.id());
-            boolean known = accepted;
-            Instant asked = time.now();
-            client.call(
-                    address,
-                    Reply.Request.post(
-                            "/v2/runs/" + request.id() + "/withdraw", Cbor.encode(Cbor.map()), Duration.ofSeconds(5)),
-                    reply -> {
-                        if (reply.status() == 200) {
-                            hear(reply, asked);
-                            rules.cancelAnswered(request.id(), state(reply), time.now());
-                        } else if (reply.status() == 404 && known) {
-                            broken.add("forgotten: cancellation of " + request.id());
-                        } else {
-                            unanswered.run();
-                        }
-                    });
-        }
-
-        private void poll() {
-            if (over()) {
-                askEverywhere();
-            } else {
-                ask(node());
-            }
-            world.after(Duration.ofSeconds(over() ? 25 : 5).dividedBy(timesAsOften), this::poll);
-        }
-
-        private void ask(String address) {
-            Instant asked = time.now();
-            client.call(address, Reply.Request.get("/v2/runs/" + request.id(), Duration.ofSeconds(2)), reply -> {
-                if (reply.status() == 200) {
-                    hear(reply, asked);
-                }
-                rules.asked(request.id(), reply.status(), asked, time.now());
-            });
-        }
-
-        /** All controllers must say the same of a job that is over. */
-        void askEverywhere() {
-            if (accepted) {
-                addresses.values().forEach(this::ask);
-            }
-        }
-
-        /** A submission that is repeated at any later time is answered with the job's state. */
-        void submitAgain() {
-            if (!accepted) {
-                return;
-            }
-            Instant asked = time.now();
-            client.call(
-                    node(),
-                    Reply.Request.post("/v2/runs", Cbor.encode(request.toNode()), Duration.ofSeconds(5)),
-                    reply -> {
-                        rules.submittedAgain(request.id(), reply.status(), time.now());
-                        if (reply.status() == 200) {
-                            hear(reply, asked);
-                        }
-                    });
-        }
-
-        /** Time from the submission until the first task began; null if none has. */
-        Duration waited() {
-            Instant first = rules.firstStart(request.id());
-            return first == null ? null : Duration.between(submitted, first);
-        }
-
-        /** Time from the submission until it was accepted; null if it was not. */
-        Duration acceptedAfter() {
-            return acceptedAt == null ? null : Duration.between(submitted, acceptedAt);
-        }
-
-        private final Instant submitted = time.now();
-        private Instant acceptedAt;
-
-        private String state(Reply reply) {
-            try {
-                return Cbor.decode(reply.body()).path("tide").asText();
-            } catch (MalformedException e) {
-                broken.add("unreadable answer: " + e.getMessage());
-                return "";
-            }
-        }
-
-        private void hear(Reply reply, Instant asked) {
-            boolean wasOver = over();
-            if (rules.heard(request.id(), state(reply), asked, time.now())) {
-                world.after(CANCEL, () -> rules.atCancelLimit(request.id(), time.now()));
-            }
-            if (over() && !wasOver) {
-                whenNews.accept(this);
-            }
-        }
-    }
-
     SimulatedWorld(long seed, double trouble, int capacity) {
         this(seed, Shape.small(trouble, capacity));
     }
@@ -234,12 +79,13 @@
         for (int i = 0; i < 3; i++) {
             addresses.put("perch-" + i, "10.0.0." + (i + 1) + ":8080");
         }
+        users = new Users(world, network.client("users", world), rules, random, List.copyOf(addresses.values()));
         cloud = new FakeCloud(world, types, shape.capacity(), (name, kind) -> {
             String address = "10.1.0." + Integer.parseInt(name.substring(3)) + ":9000";
             FakeWorker worker = new FakeWorker(
                     world,
                     network.client(name, world),
-                    new Workers(),
+                    users,
                     random.split(),
                     name,
                     address,
@@ -262,44 +108,6 @@
         return worker != null && worker.alive() && !worker.hung();
     }
 
-    /** The world as the workers see it. */
-    private final class Workers implements FakeWorker.World {
-        @Override
-        public JobRequest describe(String job) {
-            User user = users.get(job);
-            return user == null ? null : user.request;
-        }
-
-        @Override
-        public Duration runTime(String job) {
-            return users.get(job).runTime;
-        }
-
-        @Override
-        public boolean fails(String machine, String job) {
-            return failing.test(machine, job);
-        }
-
-        @Override
-        public boolean completed(String task) {
-            return rules.completed(task);
-        }
-
-        @Override
-        public void began(String machine, String task) {
-            rules.began(machine, task, time.now());
-        }
-
-        @Override
-        public void ended(String machine, String task, boolean done) {
-            rules.ended(machine, task, done);
-            User user = users.get(task.substring(0, task.indexOf('/')));
-            if (done && rules.allCompleted(user.request.id())) {
-                whenDone.accept(user);
-            }
-        }
-    }
-
     void startController(String name) {
         if (running.containsKey(name)) {
             return;
@@ -433,11 +241,7 @@
     }
 
     User submit(int number, String team, Rank rank, int tasks, double cpus, Duration runTime, Bounds bounds) {
-        User user = new User(request(number, team, rank, tasks, cpus, runTime, bounds), runTime);
-        users.put(user.request.id(), user);
-        rules.submitted(user.request);
-        user.submit();
-        return user;
+        return users.submit(request(number, team, rank, tasks, cpus, runTime, bounds), runTime);
     }
 
     private static JobRequest request(
@@ -496,25 +300,22 @@
 
     /** From now on users ask so many times as often. */
     void askTimesAsOften(int times) {
-        timesAsOften = times;
+        users.askTimesAsOften(times);
     }
 
     /** Is told at the very moment at which the last task of a job has completed. */
     void whenDone(Consumer<User> told) {
-        whenDone = told;
+        users.whenDone(told);
     }
 
     /** Is told at the very moment at which a user hears that its job is accepted, and that it is done or cancelled. */
     void whenNews(Consumer<User> told) {
-        whenNews = told;
+        users.whenNews(told);
     }
 
     /** The user asks at all nodes, again and again within milliseconds, and repeats the submission. */
     void lookClosely(User user, RandomGenerator random) {
-        for (int look = 0; look < 4; look++) {
-            after(Duration.ofNanos(random.nextInt(6_000_000)), user::askEverywhere);
-        }
-        after(Duration.ofNanos(random.nextInt(6_000_000)), user::submitAgain);
+        users.lookClosely(user, random);
     }
 
     /** Is told the name of a new leader at the very moment at which the state service has it. */
@@ -524,7 +325,7 @@
 
     /** Says of a machine and a job whether its tasks fail there. */
     void failing(BiPredicate<String, String> fails) {
-        failing = fails;
+        users.failing(fails);
     }
 
     /** The name of the controller that is the leader by the state service; null if there is none. */
@@ -559,14 +360,11 @@
     }
 
     List<User> users() {
-        return List.copyOf(users.values());
+        return users.all();
     }
 
     List<String> unfinished() {
-        return users.values().stream()
-                .filter(u -> !u.over())
-                .map(u -> u.request.id() + " " + rules.told(u.request.id()))
-                .toList();
+        return users.unfinished();
     }
 
     int started() {
--- /dev/null
+++ b/src/test/java/org/gullway/User.java
@@ -0,0 +1,164 @@
+package org.gullway;
+
+import java.time.Duration;
+import java.time.Instant;
+import org.gullway.protocol.Cbor;
+import org.gullway.protocol.JobRequest;
+import org.gullway.protocol.MalformedException;
+import org.gullway.transport.Client;
+import org.gullway.transport.EventLoop;
+import org.gullway.transport.Reply;
+
+/** A job with what its user was told. */
+final class User {
+    /** A user waits so long for the answer to a submission or a cancellation, and to a question. */
+    private static final Duration REQUEST_LIMIT = Duration.ofSeconds(5);
+
+    private static final Duration QUESTION_LIMIT = Duration.ofSeconds(2);
+
+    final JobRequest request;
+    final Duration runTime;
+    private final Users users;
+    private final RuleCheck rules;
+    private final Client client;
+    private final EventLoop loop;
+    private final Instant submitted;
+    private boolean accepted;
+    private Instant acceptedAt;
+
+    User(Users users, JobRequest request, Duration runTime) {
+        this.users = users;
+        this.request = request;
+        this.runTime = runTime;
+        this.rules = users.rules();
+        this.client = users.client();
+        this.loop = users.loop();
+        this.submitted = loop.now();
+    }
+
+    boolean over() {
+        return rules.over(request.id());
+    }
+
+    private String node() {
+        return users.anyAddress();
+    }
+
+    void submit() {
+        Instant asked = loop.now();
+        client.call(node(), Reply.Request.post("/v2/runs", Cbor.encode(request.toNode()), REQUEST_LIMIT), reply -> {
+            if (reply.status() == 201 || reply.status() == 200) {
+                boolean news = !accepted;
+                accepted = true;
+                acceptedAt = loop.now();
+                rules.accepted(request.id(), loop.now());
+                hear(reply, asked);
+                if (news) {
+                    users.news(this);
+                }
+                poll();
+            } else if (reply.status() == 400 || reply.status() == 422) {
+                rules.broken.add("forgotten: " + request.id() + " was refused with " + reply.status());
+            } else {
+                loop.after(Duration.ofSeconds(1), this::submit);
+            }
+        });
+    }
+
+    /** Asks for the cancellation until it is answered. */
+    void cancel() {
+        if (!over()) {
+            cancelOnce(node(), () -> loop.after(Duration.ofSeconds(1), this::cancel));
+        }
+    }
+
+    /** One request, also for a job that is over; it must be answered with the state that was told. */
+    void cancelOnce(String address, Runnable unanswered) {
+        rules.cancelAsked(request.id());
+        boolean known = accepted;
+        Instant asked = loop.now();
+        client.call(
+                address,
+                Reply.Request.post("/v2/runs/" + request.id() + "/withdraw", Cbor.encode(Cbor.map()), REQUEST_LIMIT),
+                reply -> {
+                    if (reply.status() == 200) {
+                        hear(reply, asked);
+                        rules.cancelAnswered(request.id(), state(reply), loop.now());
+                    } else if (reply.status() == 404 && known) {
+                        rules.broken.add("forgotten: cancellation of " + request.id());
+                    } else {
+                        unanswered.run();
+                    }
+                });
+    }
+
+    private void poll() {
+        if (over()) {
+            askEverywhere();
+        } else {
+            ask(node());
+        }
+        loop.after(Duration.ofSeconds(over() ? 25 : 5).dividedBy(users.timesAsOften()), this::poll);
+    }
+
+    private void ask(String address) {
+        Instant asked = loop.now();
+        client.call(address, Reply.Request.get("/v2/runs/" + request.id(), QUESTION_LIMIT), reply -> {
+            if (reply.status() == 200) {
+                hear(reply, asked);
+            }
+            rules.asked(request.id(), reply.status(), asked, loop.now());
+        });
+    }
+
+    /** All controllers must say the same of a job that is over. */
+    void askEverywhere() {
+        if (accepted) {
+            users.addresses().forEach(this::ask);
+        }
+    }
+
+    /** A submission that is repeated at any later time is answered with the job's state. */
+    void submitAgain() {
+        if (!accepted) {
+            return;
+        }
+        Instant asked = loop.now();
+        client.call(node(), Reply.Request.post("/v2/runs", Cbor.encode(request.toNode()), REQUEST_LIMIT), reply -> {
+            rules.submittedAgain(request.id(), reply.status(), loop.now());
+            if (reply.status() == 200) {
+                hear(reply, asked);
+            }
+        });
+    }
+
+    /** Time from the submission until the first task began; null if none has. */
+    Duration waited() {
+        Instant first = rules.firstStart(request.id());
+        return first == null ? null : Duration.between(submitted, first);
+    }
+
+    /** Time from the submission until it was accepted; null if it was not. */
+    Duration acceptedAfter() {
+        return acceptedAt == null ? null : Duration.between(submitted, acceptedAt);
+    }
+
+    private String state(Reply reply) {
+        try {
+            return Cbor.decode(reply.body()).path("tide").asText();
+        } catch (MalformedException e) {
+            rules.broken.add("unreadable answer: " + e.getMessage());
+            return "";
+        }
+    }
+
+    private void hear(Reply reply, Instant asked) {
+        boolean wasOver = over();
+        if (rules.heard(request.id(), state(reply), asked, loop.now())) {
+            loop.after(rules.cancelLimit(), () -> rules.atCancelLimit(request.id(), loop.now()));
+        }
+        if (over() && !wasOver) {
+            users.news(this);
+        }
+    }
+}
--- a/src/test/java/org/gullway/UserRequestFaultsTest.java
+++ b/src/test/java/org/gullway/UserRequestFaultsTest.java
@@ -8,7 +8,6 @@
 import net.jqwik.api.ForAll;
 import net.jqwik.api.Property;
 import net.jqwik.api.constraints.IntRange;
-import org.gullway.SimulatedWorld.User;
 import org.gullway.protocol.Rank;
 
 /** Many requests of users, or requests at the worst moments, with no other trouble. */
