--- /dev/null
+++ b/src/test/java/org/gullway/FaultSchedule.java
@@ -0,0 +1,170 @@
+package org.gullway;
+
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.Comparator;
+import java.util.List;
+import java.util.SplittableRandom;
+import org.gullway.fake.FaultyLink.Conditions;
+
+/** Faults at random moments, which follow from a seed. */
+final class FaultSchedule {
+    /** Beyond the lease of workers. */
+    private static final Duration LATEST = LoopbackCluster.LEASE.plusSeconds(1);
+
+    /** One fault; it ends by itself. */
+    record Fault(Duration at, String description, Action action) {
+        @Override
+        public String toString() {
+            return String.format("%8.3f %s", at.toMillis() / 1000.0, description);
+        }
+    }
+
+    /** What a fault does to the cluster. */
+    interface Action {
+        void run(LoopbackCluster cluster);
+    }
+
+    private final SplittableRandom random;
+    private final List<Fault> faults = new ArrayList<>();
+
+    private FaultSchedule(long seed) {
+        this.random = new SplittableRandom(seed);
+    }
+
+    /** Faults between these two moments, on average one in each interval. */
+    static List<Fault> of(long seed, Duration from, Duration to, Duration interval) {
+        FaultSchedule schedule = new FaultSchedule(seed);
+        long span = to.minus(from).toMillis();
+        long count = span / interval.toMillis();
+        for (int i = 0; i < count; i++) {
+            schedule.add(from.plusMillis(schedule.random.nextLong(span)));
+        }
+        schedule.faults.sort(Comparator.comparing(Fault::at));
+        return schedule.faults;
+    }
+
+    private String node() {
+        return "perch-" + random.nextInt(3);
+    }
+
+    private Duration millis(int least, int most) {
+        return Duration.ofMillis(random.nextInt(least, most));
+    }
+
+    private void add(Duration at) {
+        switch (random.nextInt(12)) {
+            case 0, 1 -> kill(at, node(), random.nextBoolean() ? millis(30, 900) : millis(900, 4000));
+            case 2 -> killLeader(at, millis(30, 3000));
+            case 3 -> killAll(at, millis(30, 900));
+            case 4 -> pause(at, node(), millis(100, 5000));
+            case 5 -> cut(at, node() + ">state", millis(300, 6000));
+            case 6 -> cutPeers(at, node(), millis(300, 6000));
+            case 7 -> troubled(
+                    at, ">state", new Conditions(0.02, 0.1, 0.1, LATEST, 0, millis(1, 400)), millis(1000, 5000));
+            case 8 -> troubled(
+                    at,
+                    ">controllers",
+                    new Conditions(0.05, 0.05, 0.1, LATEST, 0.3, millis(1, 200)),
+                    millis(1000, 6000));
+            case 9 -> stateService(at, millis(200, 4000));
+            case 10 -> refused(at, node(), millis(300, 4000));
+            default -> machines(at, random.nextInt(1, 4), millis(300, 6000));
+        }
+    }
+
+    private void add(Duration at, String description, Action action) {
+        faults.add(new Fault(at, description, action));
+    }
+
+    private void kill(Duration at, String node, Duration away) {
+        add(at, node + " is killed and started after " + away.toMillis() + " ms", cluster -> {
+            cluster.kill(node);
+            cluster.loop.after(away, () -> cluster.startController(node));
+        });
+    }
+
+    private void killLeader(Duration at, Duration away) {
+        add(at, "the leader is killed and started after " + away.toMillis() + " ms", cluster -> {
+            String leader = cluster.leader();
+            if (leader != null) {
+                cluster.kill(leader);
+                cluster.loop.after(away, () -> cluster.startController(leader));
+            }
+        });
+    }
+
+    private void killAll(Duration at, Duration away) {
+        add(at, "all are killed and started after " + away.toMillis() + " ms", cluster -> {
+            cluster.nodes().forEach(cluster::kill);
+            cluster.loop.after(away, () -> cluster.nodes().forEach(cluster::startController));
+        });
+    }
+
+    private void pause(Duration at, String node, Duration span) {
+        add(at, node + " is stopped for " + span.toMillis() + " ms", cluster -> {
+            cluster.pause(node, true);
+            cluster.loop.after(span, () -> cluster.pause(node, false));
+        });
+    }
+
+    private void cut(Duration at, String link, Duration span) {
+        add(at, link + " is cut for " + span.toMillis() + " ms", cluster -> {
+            cluster.links.get(link).cut(true);
+            cluster.loop.after(span, () -> cluster.links.get(link).cut(false));
+        });
+    }
+
+    private void cutPeers(Duration at, String node, Duration span) {
+        for (int i = 0; i < 3; i++) {
+            String peer = "perch-" + i;
+            if (!peer.equals(node)) {
+                cut(at, node + ">" + peer, span);
+                cut(at, peer + ">" + node, span);
+            }
+        }
+    }
+
+    private void troubled(Duration at, String links, Conditions conditions, Duration span) {
+        add(at, "all of " + links + " are " + conditions + " for " + span.toMillis() + " ms", cluster -> {
+            set(cluster, links, conditions);
+            cluster.loop.after(span, () -> set(cluster, links, Conditions.GOOD));
+        });
+    }
+
+    private static void set(LoopbackCluster cluster, String links, Conditions conditions) {
+        cluster.links.forEach((name, link) -> {
+            if (name.endsWith(links)) {
+                link.set(conditions);
+            }
+        });
+    }
+
+    private void stateService(Duration at, Duration span) {
+        add(at, "the state service is out for " + span.toMillis() + " ms", cluster -> {
+            cluster.store.setDown(true);
+            cluster.loop.after(span, () -> cluster.store.setDown(false));
+        });
+    }
+
+    private void refused(Duration at, String node, Duration span) {
+        add(at, "the state service refuses " + node + " for " + span.toMillis() + " ms", cluster -> {
+            cluster.store.refuseFrom(node, true);
+            cluster.loop.after(span, () -> cluster.store.refuseFrom(node, false));
+        });
+    }
+
+    private void machines(Duration at, int count, Duration span) {
+        boolean dies = random.nextInt(4) == 0;
+        add(
+                at,
+                count + " machines " + (dies ? "die" : "hang for " + span.toMillis() + " ms"),
+                cluster -> cluster.cloud.workers().stream().limit(count).forEach(machine -> {
+                    if (dies) {
+                        machine.die();
+                    } else {
+                        machine.hang(span);
+                    }
+                }));
+    }
+}
--- /dev/null
+++ b/src/test/java/org/gullway/JobHistory.java
@@ -0,0 +1,42 @@
+package org.gullway;
+
+import java.time.Duration;
+import java.time.Instant;
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.function.Supplier;
+
+/** What users and machines saw of each job, in order. */
+final class JobHistory {
+    private final boolean kept;
+    private final Map<String, List<String>> events = new HashMap<>();
+
+    private JobHistory(boolean kept) {
+        this.kept = kept;
+    }
+
+    static JobHistory recording() {
+        return new JobHistory(true);
+    }
+
+    /** One that keeps nothing. */
+    static JobHistory none() {
+        return new JobHistory(false);
+    }
+
+    void add(String job, Instant at, Supplier<String> event) {
+        if (kept) {
+            events.computeIfAbsent(job, j -> new ArrayList<>()).add(text(at) + " " + event.get());
+        }
+    }
+
+    List<String> of(String job) {
+        return events.getOrDefault(job, List.of());
+    }
+
+    static String text(Instant at) {
+        return String.format("%8.3f", Duration.between(Instant.EPOCH, at).toMillis() / 1000.0);
+    }
+}
--- /dev/null
+++ b/src/test/java/org/gullway/LoopbackCluster.java
@@ -0,0 +1,371 @@
+package org.gullway;
+
+import io.undertow.server.DefaultByteBufferPool;
+import java.io.IOException;
+import java.io.UncheckedIOException;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.Comparator;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Set;
+import java.util.SplittableRandom;
+import java.util.TreeMap;
+import java.util.concurrent.ConcurrentSkipListMap;
+import java.util.concurrent.TimeUnit;
+import java.util.function.Consumer;
+import java.util.stream.Stream;
+import org.gullway.coordination.Keys;
+import org.gullway.fake.FakeCloud;
+import org.gullway.fake.FakeStateStore;
+import org.gullway.fake.FakeWorker;
+import org.gullway.fake.FaultyLink;
+import org.gullway.protocol.MachineType;
+import org.gullway.transport.Call;
+import org.gullway.transport.HttpClient;
+import org.gullway.transport.HttpServer;
+import org.gullway.transport.Sockets;
+import org.gullway.transport.XnioEventLoop;
+import org.xnio.OptionMap;
+import org.xnio.Options;
+import org.xnio.Xnio;
+import org.xnio.XnioWorker;
+
+/**
+ * Three controllers as processes of their own on loopback, with the stand-ins of state service, cloud and workers behind
+ * real sockets in this process. Everything except starting and ending it runs on its event loop.
+ */
+final class LoopbackCluster implements AutoCloseable {
+    static final Duration LEASE = Duration.ofSeconds(4);
+    static final Duration CANCEL = Duration.ofSeconds(12);
+    private static final Duration REPORT = Duration.ofMillis(500);
+    private static final Duration MEMBERSHIP = Duration.ofSeconds(2);
+    private static final Duration PEER_LIMIT = Duration.ofSeconds(4);
+    private static final Duration PATIENCE = Duration.ofSeconds(10);
+    private static final int CAPACITY = 4;
+    private static final int BODY_LIMIT = 64 * 1024;
+    private static final int SOCKETS = 10_000;
+    private static final int HEAP_MB = 96;
+
+    final XnioEventLoop loop;
+    final HttpClient client;
+    final FakeStateStore store;
+    final FakeCloud cloud;
+    /** By the names of both parties, "from>to"; workers have one link to all controllers and one from them. */
+    final Map<String, FaultyLink> links = new TreeMap<>();
+
+    private final XnioWorker worker;
+    private final DefaultByteBufferPool buffers = new DefaultByteBufferPool(false, 8192);
+    private final Sockets sockets = new Sockets(SOCKETS);
+    private final SplittableRandom random;
+    private final Map<String, String> publicAddresses = new LinkedHashMap<>();
+    private final Map<String, String> meshAddresses = new LinkedHashMap<>();
+    private final Map<String, Process> processes = new ConcurrentSkipListMap<>();
+    private final Path directory;
+    private final Consumer<String> ended;
+    /** Ends the processes also when this one is ended from outside. */
+    private final Thread atShutdown = new Thread(this::killAll);
+
+    /**
+     * @param machines is told of every machine that is up
+     * @param ended is told of controllers that end by themselves
+     */
+    LoopbackCluster(long seed, Consumer<String> ended, MachineListener machines) throws IOException {
+        this.random = new SplittableRandom(seed);
+        this.ended = ended;
+        this.directory = Files.createTempDirectory("gullway-soak");
+        this.worker = Xnio.getInstance()
+                .createWorker(OptionMap.create(Options.WORKER_IO_THREADS, 1, Options.THREAD_DAEMON, true));
+        this.loop = new XnioEventLoop(worker.getIoThread());
+        this.client = new HttpClient(loop, buffers, sockets, Set.of());
+        this.store = new FakeStateStore(loop);
+        for (int i = 0; i < 3; i++) {
+            publicAddresses.put("perch-" + i, LoopbackAddresses.free());
+            meshAddresses.put("perch-" + i, LoopbackAddresses.free());
+        }
+        Runtime.getRuntime().addShutdownHook(atShutdown);
+        this.cloud = new FakeCloud(loop, types(), CAPACITY, (name, kind) -> boot(name, kind, machines));
+    }
+
+    /** Is told of every machine that is up, and says what its worker knows of the world. */
+    interface MachineListener {
+        FakeWorker.World up(String name, FakeWorker.Kind kind);
+    }
+
+    private static List<MachineType> types() {
+        return List.of(
+                new MachineType("small", 16, 0, 64, 50, 1, 1.0, 0.3, Duration.ofMillis(600), List.of("a", "b")),
+                new MachineType("large", 32, 0, 256, 50, 1, 2.5, 0.9, Duration.ofMillis(400), List.of("a", "b")));
+    }
+
+    private FakeWorker boot(String name, FakeWorker.Kind kind, MachineListener machines) {
+        String address = LoopbackAddresses.free();
+        FakeWorker machine = new FakeWorker(
+                loop,
+                link(name + ">controllers").client(client),
+                machines.up(name, kind),
+                random.split(),
+                name,
+                address,
+                kind,
+                publicAddresses,
+                REPORT,
+                LEASE);
+        listen(address, link("controllers>" + name).server("", machine::handle));
+        return machine;
+    }
+
+    private FaultyLink link(String name) {
+        return links.computeIfAbsent(name, n -> new FaultyLink(loop, random.split()));
+    }
+
+    private void listen(String address, Consumer<Call> handler) {
+        HttpServer.start(worker, buffers, sockets, address, BODY_LIMIT, handler::accept);
+    }
+
+    /** Starts everything. */
+    void start() {
+        for (String name : nodes()) {
+            String state = LoopbackAddresses.free();
+            String cloudAddress = LoopbackAddresses.free();
+            listen(state, link(name + ">state").server(name, store::handle));
+            listen(cloudAddress, link(name + ">cloud").server(name, cloud::handle));
+            List<String> seeds = new ArrayList<>();
+            for (String peer : nodes()) {
+                if (!peer.equals(name)) {
+                    String address = LoopbackAddresses.free();
+                    listen(address, link(name + ">" + peer).forwarder(meshAddresses.get(peer), client, PEER_LIMIT));
+                    seeds.add(seed(peer, address));
+                }
+            }
+            write(name + ".toml", settings(name, state, cloudAddress, seeds));
+            startController(name);
+        }
+    }
+
+    private static String zone(String node) {
+        return node.equals("perch-2") ? "b" : "a";
+    }
+
+    private static String seed(String peer, String address) {
+        return """
+                [[seeds]]
+                node_name = "%s"
+                site = "%s"
+                addr = "%s"
+                """
+                .formatted(peer, zone(peer), address);
+    }
+
+    private String settings(String name, String state, String cloudAddress, List<String> seeds) {
+        StringBuilder teams = new StringBuilder();
+        SimulatedWorld.Shape.SMALL_TEAMS
+                .values()
+                .forEach(team -> teams.append(
+                        """
+                [[facts.teams]]
+                name = "%s"
+                cpus = %s
+                cpus_max = %s
+                """
+                                .formatted(team.name(), team.cpus(), team.cpusMax())));
+        return """
+                node_name = "%s"
+                site = "%s"
+                public_addr = "%s"
+                mesh_addr = "%s"
+                %s
+                [external]
+                cloud = "%s"
+                state = "%s"
+                [facts]
+                count = 3
+                zones = ["a", "b"]
+                clock_off_ms = 25.0
+                %s
+                [facts.workers]
+                report_s = %s
+                lease_s = %s
+                cancel_s = %s
+                [facts.state]
+                rps = 150.0
+                write_rps = %s
+                value_kb = 16.0
+                txn_ops = %s
+                [facts.cloud]
+                rps = 10.0
+                list_lag_s = 0.5
+                [facts.quota]
+                cpu = 1.0
+                mem_mb = 320.0
+                sockets = 1000
+                """
+                .formatted(
+                        name,
+                        zone(name),
+                        publicAddresses.get(name),
+                        meshAddresses.get(name),
+                        String.join("", seeds),
+                        cloudAddress,
+                        state,
+                        teams,
+                        seconds(REPORT),
+                        seconds(LEASE),
+                        seconds(CANCEL),
+                        (double) FakeStateStore.CHANGES_PER_SECOND,
+                        FakeStateStore.CHANGES_PER_COMMIT);
+    }
+
+    private static double seconds(Duration duration) {
+        return duration.toMillis() / 1000.0;
+    }
+
+    private Path write(String file, String text) {
+        try {
+            return Files.writeString(directory.resolve(file), text);
+        } catch (IOException e) {
+            throw new UncheckedIOException(e);
+        }
+    }
+
+    List<String> nodes() {
+        return List.copyOf(publicAddresses.keySet());
+    }
+
+    List<String> userAddresses() {
+        return List.copyOf(publicAddresses.values());
+    }
+
+    /** The name of the controller that leads by the state service; null if there is none. */
+    String leader() {
+        var leader = store.value(Keys.LEADER);
+        return leader == null ? null : leader.path("node").asText();
+    }
+
+    // Processes
+
+    void startController(String name) {
+        if (processes.containsKey(name)) {
+            return;
+        }
+        Path operator = write(
+                "operator.xml",
+                "<gullway><membership-lease-s>" + MEMBERSHIP.toSeconds() + "</membership-lease-s></gullway>");
+        ProcessBuilder builder = new ProcessBuilder(
+                Path.of(System.getProperty("java.home"), "bin", "java").toString(),
+                "-Xmx" + HEAP_MB + "m",
+                "-Xss512k",
+                "-XX:+UseSerialGC",
+                "-XX:TieredStopAtLevel=1",
+                "-cp",
+                System.getProperty("java.class.path"),
+                "org.gullway.Main",
+                "--config",
+                directory.resolve(name + ".toml").toString(),
+                "--operator-settings",
+                operator.toString());
+        builder.environment().put("LOG_LEVEL", "debug");
+        builder.redirectErrorStream(true);
+        builder.redirectOutput(ProcessBuilder.Redirect.appendTo(log(name).toFile()));
+        try {
+            Process process = builder.start();
+            processes.put(name, process);
+            process.onExit().thenAccept(exited -> loop.execute(() -> exited(name, exited)));
+        } catch (IOException e) {
+            throw new UncheckedIOException(e);
+        }
+    }
+
+    private void exited(String name, Process process) {
+        if (processes.remove(name, process)) {
+            ended.accept(name + " ended by itself, with code " + process.exitValue());
+        }
+    }
+
+    /** Ends the process at once, as a crash does. */
+    void kill(String name) {
+        Process process = processes.remove(name);
+        if (process != null) {
+            process.destroyForcibly();
+        }
+    }
+
+    /** Stops the process where it is, or lets it go on. */
+    void pause(String name, boolean on) {
+        Process process = processes.get(name);
+        if (process == null) {
+            return;
+        }
+        try {
+            new ProcessBuilder("kill", on ? "-STOP" : "-CONT", Long.toString(process.pid())).start();
+        } catch (IOException e) {
+            throw new UncheckedIOException(e);
+        }
+    }
+
+    /** All links are good, all controllers run, and the state service serves everybody. */
+    void calm() {
+        links.values().forEach(link -> {
+            link.set(FaultyLink.Conditions.GOOD);
+            link.cut(false);
+        });
+        store.calm();
+        nodes().forEach(name -> {
+            pause(name, false);
+            startController(name);
+        });
+    }
+
+    private Path log(String name) {
+        return directory.resolve(name + ".log");
+    }
+
+    /** Lines of the controllers' logs that contain any of these texts. */
+    List<String> logLines(List<String> texts) {
+        List<String> found = new ArrayList<>();
+        for (String name : nodes()) {
+            if (!Files.exists(log(name))) {
+                continue;
+            }
+            try (Stream<String> lines = Files.lines(log(name))) {
+                lines.filter(line -> texts.stream().anyMatch(line::contains))
+                        .forEach(line -> found.add(name + ": " + line));
+            } catch (IOException e) {
+                throw new UncheckedIOException(e);
+            }
+        }
+        return found;
+    }
+
+    private List<Process> killAll() {
+        List<Process> all = List.copyOf(processes.values());
+        processes.clear();
+        all.forEach(Process::destroyForcibly);
+        return all;
+    }
+
+    /** Ends all processes and forgets their files. */
+    @Override
+    public void close() {
+        List<Process> all = killAll();
+        Runtime.getRuntime().removeShutdownHook(atShutdown);
+        try {
+            for (Process process : all) {
+                process.waitFor(PATIENCE.toSeconds(), TimeUnit.SECONDS);
+            }
+            worker.shutdownNow();
+            try (Stream<Path> files = Files.walk(directory)) {
+                for (Path file : files.sorted(Comparator.reverseOrder()).toList()) {
+                    Files.delete(file);
+                }
+            }
+        } catch (IOException e) {
+            throw new UncheckedIOException(e);
+        } catch (InterruptedException e) {
+            Thread.currentThread().interrupt();
+        }
+    }
+}
--- /dev/null
+++ b/src/test/java/org/gullway/SoakRun.java
@@ -0,0 +1,243 @@
+package org.gullway;
+
+import java.io.IOException;
+import java.time.Duration;
+import java.time.Instant;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.SplittableRandom;
+import java.util.TreeSet;
+import java.util.concurrent.CountDownLatch;
+import java.util.concurrent.TimeUnit;
+import java.util.regex.Matcher;
+import java.util.regex.Pattern;
+import org.gullway.protocol.JobRequest;
+import org.gullway.protocol.Rank;
+
+/**
+ * A randomized test of faults over loopback: three controllers as processes of their own, users who ask, submit again and
+ * cancel at the worst moments, and faults from a seed. The rules are checked from outside on what was seen.
+ */
+public final class SoakRun {
+    private static final Duration START = Duration.ofSeconds(3);
+    private static final Duration BETWEEN_FAULTS = Duration.ofMillis(900);
+    private static final Duration BETWEEN_JOBS = Duration.ofMillis(350);
+    private static final Duration LAST_QUESTIONS = Duration.ofSeconds(3);
+    private static final Duration TICK = Duration.ofMillis(20);
+    /** A longer pause of this process makes workers look late, which no controller can know. */
+    private static final Duration LONGEST_STALL = Duration.ofMillis(250);
+
+    private static final Pattern JOB = Pattern.compile("run-\\d{6}");
+
+    /** How long a run goes on under faults, and how long afterwards. */
+    record Length(Duration faults, Duration afterwards) {}
+
+    /**
+     * What came of a run.
+     *
+     * @param broken rules that were broken
+     * @param unfinished jobs that were not over at the end
+     * @param stall the longest pause of this process itself
+     */
+    record Outcome(
+            long seed,
+            List<String> broken,
+            List<String> unfinished,
+            int jobs,
+            int starts,
+            Duration stall,
+            String report) {
+        boolean conclusive() {
+            return stall.compareTo(LONGEST_STALL) <= 0;
+        }
+
+        /** Rules of machines' leases depend on this process being punctual; all others hold whatever it does. */
+        List<String> brokenForSure() {
+            return broken.stream()
+                    .filter(rule -> conclusive()
+                            || !(rule.startsWith("ran_twice")
+                                    || rule.startsWith("quota")
+                                    || rule.startsWith("wrong_place")
+                                    || rule.startsWith("ran_cancelled")))
+                    .toList();
+        }
+
+        @Override
+        public String toString() {
+            return "seed " + seed + ": " + (broken.isEmpty() ? "no rule broken" : "BROKEN " + broken) + ", " + jobs
+                    + " jobs, " + starts + " starts, unfinished " + unfinished.size() + ", longest stall "
+                    + stall.toMillis() + " ms" + (conclusive() ? "" : " (leases inconclusive)");
+        }
+    }
+
+    private final long seed;
+    private final Length length;
+    private final SplittableRandom random;
+    private final RuleCheck rules = new RuleCheck(LoopbackCluster.CANCEL, SimulatedWorld.Shape.SMALL_TEAMS);
+    private final JobHistory history = JobHistory.recording();
+    private final List<FaultSchedule.Fault> faults;
+    private LoopbackCluster cluster;
+    private Users users;
+    private Instant lastTick;
+    private Duration longestStall = Duration.ZERO;
+    private int jobs;
+    private boolean submitting = true;
+
+    private SoakRun(long seed, Length length) {
+        this.seed = seed;
+        this.length = length;
+        this.random = new SplittableRandom(seed);
+        this.faults = FaultSchedule.of(seed, START, START.plus(length.faults()), BETWEEN_FAULTS);
+    }
+
+    /** Plays one run. */
+    static Outcome play(long seed, Length length) throws IOException, InterruptedException {
+        return new SoakRun(seed, length).play();
+    }
+
+    private Outcome play() throws IOException, InterruptedException {
+        CountDownLatch over = new CountDownLatch(1);
+        try (LoopbackCluster played =
+                new LoopbackCluster(seed, end -> rules.broken.add("process: " + end), (name, kind) -> {
+                    rules.machine(name, kind);
+                    return users;
+                })) {
+            cluster = played;
+            cluster.loop.execute(() -> begin(over));
+            Duration whole =
+                    START.plus(length.faults()).plus(length.afterwards()).plus(LAST_QUESTIONS);
+            if (!over.await(whole.plusSeconds(60).toSeconds(), TimeUnit.SECONDS)) {
+                rules.broken.add("the run did not end");
+            }
+            return outcome();
+        }
+    }
+
+    private void begin(CountDownLatch over) {
+        users = new Users(cluster.loop, cluster.client, rules, random.split(), cluster.userAddresses());
+        users.recordIn(history);
+        users.whenNews(user -> {
+            users.lookClosely(user, random);
+            if (!user.over() && random.nextInt(4) == 0) {
+                user.cancel();
+            }
+        });
+        cluster.start();
+        tick();
+        cluster.loop.after(Duration.ofSeconds(1), this::submitNext);
+        faults.forEach(
+                fault -> cluster.loop.after(fault.at(), () -> fault.action().run(cluster)));
+        Duration calm = START.plus(length.faults());
+        cluster.loop.after(calm, this::calm);
+        cluster.loop.after(calm.plus(length.afterwards()), () -> {
+            users.all().forEach(User::submitAgain);
+            users.all().forEach(User::askEverywhere);
+        });
+        cluster.loop.after(calm.plus(length.afterwards()).plus(LAST_QUESTIONS), over::countDown);
+    }
+
+    private void tick() {
+        Instant now = cluster.loop.now();
+        if (lastTick != null) {
+            Duration late = Duration.between(lastTick, now).minus(TICK);
+            longestStall = late.compareTo(longestStall) > 0 ? late : longestStall;
+        }
+        lastTick = now;
+        cluster.loop.after(TICK, this::tick);
+    }
+
+    private void calm() {
+        submitting = false;
+        cluster.calm();
+        rules.calm(cluster.loop.now());
+    }
+
+    private void submitNext() {
+        if (!submitting) {
+            return;
+        }
+        jobs++;
+        Duration runTime = Duration.ofMillis(random.nextInt(200, 5000));
+        User user = users.submit(request(jobs, runTime), runTime);
+        if (random.nextInt(10) == 0) {
+            cluster.loop.after(Duration.ofMillis(random.nextInt(5000)), user::cancel);
+        }
+        cluster.loop.after(BETWEEN_JOBS, this::submitNext);
+    }
+
+    private JobRequest request(int number, Duration runTime) {
+        int bounds = random.nextInt(8);
+        return new JobRequest(
+                String.format("run-%06d", number),
+                "render",
+                random.nextInt(3) == 0 ? "red" : "blue",
+                JobRequest.Shape.ARRAY,
+                Rank.values()[random.nextInt(4)],
+                random.nextInt(1, 5),
+                random.nextInt(1, 5),
+                0,
+                2,
+                "img-" + number % 3,
+                0.5,
+                null,
+                bounds == 0 ? "b" : null,
+                bounds == 1,
+                bounds == 2,
+                random.nextInt(4) != 0,
+                runTime,
+                Duration.ZERO,
+                Duration.ZERO,
+                null);
+    }
+
+    private Outcome outcome() {
+        rules.broken.addAll(cluster.logLines(List.of("invariant violated")));
+        return new Outcome(
+                seed,
+                List.copyOf(rules.broken),
+                users.unfinished(),
+                jobs,
+                rules.starts(),
+                longestStall,
+                rules.broken.isEmpty() ? "" : report());
+    }
+
+    /** Seed, schedule, and the history of the jobs whose rules were broken. */
+    private String report() {
+        List<String> lines = new ArrayList<>();
+        lines.add("seed " + seed);
+        faults.forEach(fault -> lines.add(fault.toString()));
+        TreeSet<String> concerned = new TreeSet<>();
+        for (String rule : rules.broken) {
+            lines.add(rule);
+            Matcher matcher = JOB.matcher(rule);
+            while (matcher.find()) {
+                concerned.add(matcher.group());
+            }
+        }
+        for (String job : concerned) {
+            lines.addAll(history.of(job));
+            lines.addAll(cluster.logLines(List.of(job)));
+        }
+        return String.join("\n", lines);
+    }
+
+    /** Arguments: the first seed, how many runs, and for how many seconds each is under faults. */
+    public static void main(String[] arguments) throws Exception {
+        long first = Long.parseLong(arguments[0]);
+        int runs = Integer.parseInt(arguments[1]);
+        Length length = new Length(Duration.ofSeconds(Long.parseLong(arguments[2])), Duration.ofSeconds(30));
+        int broken = 0;
+        for (long seed = first; seed < first + runs; seed++) {
+            Outcome outcome = play(seed, length);
+            System.out.println(outcome);
+            outcome.unfinished().forEach(job -> System.out.println("  unfinished: " + job));
+            if (!outcome.broken().isEmpty()) {
+                broken++;
+                System.out.println(outcome.report());
+            }
+        }
+        System.out.println(runs + " runs, " + broken + " with a rule broken");
+        System.exit(broken == 0 ? 0 : 1);
+    }
+}
--- /dev/null
+++ b/src/test/java/org/gullway/SoakTest.java
@@ -0,0 +1,21 @@
+package org.gullway;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import java.time.Duration;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.ValueSource;
+
+/** The short form of {@link SoakRun}: fixed seeds, and only what no slowness of the machine can bring about. */
+class SoakTest {
+    private static final SoakRun.Length SHORT = new SoakRun.Length(Duration.ofSeconds(10), Duration.ofSeconds(4));
+
+    @ParameterizedTest
+    @ValueSource(longs = {1, 2})
+    void noRuleIsBrokenByProcessesUnderFaults(long seed) throws Exception {
+        SoakRun.Outcome outcome = SoakRun.play(seed, SHORT);
+        System.out.println(outcome);
+        assertThat(outcome.brokenForSure()).as(outcome.report()).isEmpty();
+        assertThat(outcome.starts()).as("tasks that began").isPositive();
+    }
+}
--- a/src/test/java/org/gullway/User.java
+++ b/src/test/java/org/gullway/User.java
@@ -2,6 +2,7 @@
 
 import java.time.Duration;
 import java.time.Instant;
+import java.util.function.Consumer;
 import org.gullway.protocol.Cbor;
 import org.gullway.protocol.JobRequest;
 import org.gullway.protocol.MalformedException;
@@ -36,6 +37,22 @@
         this.submitted = loop.now();
     }
 
+    private void call(String address, Reply.Request request, Consumer<Reply> answered) {
+        Instant asked = loop.now();
+        client.call(address, request, reply -> {
+            users.history().add(this.request.id(), loop.now(), () -> describe(address, request, reply, asked));
+            answered.accept(reply);
+        });
+    }
+
+    private String describe(String address, Reply.Request sent, Reply reply, Instant asked) {
+        String answer = reply.kind() == Reply.Kind.ANSWERED
+                ? reply.status() + " " + (reply.body().length == 0 ? "" : state(reply))
+                : reply.kind().toString();
+        return "user: " + sent.method() + " " + sent.path() + " at " + address + ", sent "
+                + JobHistory.text(asked).strip() + " -> " + answer;
+    }
+
     boolean over() {
         return rules.over(request.id());
     }
@@ -46,7 +63,7 @@
 
     void submit() {
         Instant asked = loop.now();
-        client.call(node(), Reply.Request.post("/v2/runs", Cbor.encode(request.toNode()), REQUEST_LIMIT), reply -> {
+        call(node(), Reply.Request.post("/v2/runs", Cbor.encode(request.toNode()), REQUEST_LIMIT), reply -> {
             if (reply.status() == 201 || reply.status() == 200) {
                 boolean news = !accepted;
                 accepted = true;
@@ -77,7 +94,7 @@
         rules.cancelAsked(request.id());
         boolean known = accepted;
         Instant asked = loop.now();
-        client.call(
+        call(
                 address,
                 Reply.Request.post("/v2/runs/" + request.id() + "/withdraw", Cbor.encode(Cbor.map()), REQUEST_LIMIT),
                 reply -> {
@@ -103,7 +120,7 @@
 
     private void ask(String address) {
         Instant asked = loop.now();
-        client.call(address, Reply.Request.get("/v2/runs/" + request.id(), QUESTION_LIMIT), reply -> {
+        call(address, Reply.Request.get("/v2/runs/" + request.id(), QUESTION_LIMIT), reply -> {
             if (reply.status() == 200) {
                 hear(reply, asked);
             }
@@ -124,7 +141,7 @@
             return;
         }
         Instant asked = loop.now();
-        client.call(node(), Reply.Request.post("/v2/runs", Cbor.encode(request.toNode()), REQUEST_LIMIT), reply -> {
+        call(node(), Reply.Request.post("/v2/runs", Cbor.encode(request.toNode()), REQUEST_LIMIT), reply -> {
             rules.submittedAgain(request.id(), reply.status(), loop.now());
             if (reply.status() == 200) {
                 hear(reply, asked);
--- a/src/test/java/org/gullway/Users.java
+++ b/src/test/java/org/gullway/Users.java
@@ -24,6 +24,7 @@
     private Consumer<User> whenDone = user -> {};
     private Consumer<User> whenNews = user -> {};
     private int timesAsOften = 1;
+    private JobHistory history = JobHistory.none();
     private BiPredicate<String, String> failing = (machine, job) -> false;
 
     /** @param addresses the public addresses of all controllers */
@@ -70,6 +71,11 @@
         whenNews = told;
     }
 
+    /** From now on what users and machines see is recorded here. */
+    void recordIn(JobHistory next) {
+        history = next;
+    }
+
     /** Says of a machine and a job whether its tasks fail there. */
     void failing(BiPredicate<String, String> fails) {
         failing = fails;
@@ -113,8 +119,16 @@
         whenNews.accept(user);
     }
 
+    JobHistory history() {
+        return history;
+    }
+
     // What workers know
 
+    private static String job(String task) {
+        return task.substring(0, task.indexOf('/'));
+    }
+
     @Override
     public JobRequest describe(String job) {
         User user = users.get(job);
@@ -138,13 +152,15 @@
 
     @Override
     public void began(String machine, String task) {
+        history.add(job(task), loop.now(), () -> task + " begins on " + machine);
         rules.began(machine, task, loop.now());
     }
 
     @Override
     public void ended(String machine, String task, boolean done) {
+        history.add(job(task), loop.now(), () -> task + (done ? " is done on " : " is ended on ") + machine);
         rules.ended(machine, task, done);
-        User user = users.get(task.substring(0, task.indexOf('/')));
+        User user = users.get(job(task));
         if (done && rules.allCompleted(user.request.id())) {
             whenDone.accept(user);
         }
--- /dev/null
+++ b/src/test/java/org/gullway/fake/FaultyLink.java
@@ -0,0 +1,162 @@
+package org.gullway.fake;
+
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.function.Consumer;
+import java.util.random.RandomGenerator;
+import org.gullway.transport.Call;
+import org.gullway.transport.Client;
+import org.gullway.transport.EventLoop;
+import org.gullway.transport.Reply;
+
+/** The way between two parties, on which whole messages are held, lost, delayed, repeated or carried out late. */
+public final class FaultyLink {
+    /**
+     * What happens to the messages on a link.
+     *
+     * @param lost share of requests that never arrive
+     * @param unanswered share of requests that are carried out and whose answer is lost
+     * @param late share of requests that are carried out late, unanswered
+     * @param latest how late these arrive at most
+     * @param copied share of requests that are answered and arrive again, up to so late
+     * @param slowest how much later answers come at most
+     */
+    public record Conditions(
+            double lost, double unanswered, double late, Duration latest, double copied, Duration slowest) {
+        public static final Conditions GOOD = new Conditions(0, 0, 0, Duration.ZERO, 0, Duration.ZERO);
+    }
+
+    private static final Duration LEAST_LATE = Duration.ofMillis(200);
+
+    private final EventLoop loop;
+    private final RandomGenerator random;
+    private final List<Runnable> held = new ArrayList<>();
+    private Conditions conditions = Conditions.GOOD;
+    private boolean cut;
+
+    public FaultyLink(EventLoop loop, RandomGenerator random) {
+        this.loop = loop;
+        this.random = random;
+    }
+
+    public void set(Conditions next) {
+        conditions = next;
+    }
+
+    /** While it is cut messages are held; afterwards they arrive in order, also those that were given up. */
+    public void cut(boolean on) {
+        cut = on;
+        if (!on) {
+            List<Runnable> arriving = List.copyOf(held);
+            held.clear();
+            arriving.forEach(Runnable::run);
+        }
+    }
+
+    /** A server's handler behind this link, which sees this name as the sender of what arrives. */
+    public Consumer<Call> server(String from, Consumer<Call> handler) {
+        return call -> deliver(
+                new SimulatedNetwork.Message(
+                        from,
+                        call.method(),
+                        call.path(),
+                        call.query(),
+                        call.body(),
+                        reply -> call.answer(reply.status(), reply.body())),
+                handler);
+    }
+
+    /** A handler that passes requests on through this link and another client. */
+    public Consumer<Call> forwarder(String address, Client client, Duration limit) {
+        return server(
+                "",
+                message -> client.call(address, request(message, limit), reply -> {
+                    if (reply.kind() == Reply.Kind.ANSWERED) {
+                        message.answer(reply.status(), reply.body());
+                    } else if (reply.kind() != Reply.Kind.UNKNOWN) {
+                        message.answer(503, new byte[0]);
+                    }
+                }));
+    }
+
+    /** A client whose requests go through this link. */
+    public Client client(Client client) {
+        return (address, request, callback) -> {
+            boolean[] finished = new boolean[1];
+            Consumer<Reply> once = reply -> {
+                if (!finished[0]) {
+                    finished[0] = true;
+                    callback.accept(reply);
+                }
+            };
+            loop.after(request.limit(), () -> once.accept(Reply.unknown()));
+            int question = request.path().indexOf('?');
+            SimulatedNetwork.Message message = new SimulatedNetwork.Message(
+                    "",
+                    request.method(),
+                    question < 0 ? request.path() : request.path().substring(0, question),
+                    question < 0 ? "" : request.path().substring(question + 1),
+                    request.body(),
+                    once);
+            deliver(
+                    message,
+                    call -> client.call(
+                            address, request(call, request.limit()), ((SimulatedNetwork.Message) call).reply()));
+        };
+    }
+
+    private static Reply.Request request(Call call, Duration limit) {
+        String path = call.query().isEmpty() ? call.path() : call.path() + "?" + call.query();
+        return new Reply.Request(call.method(), path, call.body(), limit);
+    }
+
+    private void deliver(SimulatedNetwork.Message message, Consumer<Call> target) {
+        if (cut) {
+            held.add(() -> target.accept(message));
+            return;
+        }
+        double chance = random.nextDouble();
+        if (chance < conditions.lost()) {
+            return;
+        }
+        chance -= conditions.lost();
+        if (chance < conditions.unanswered()) {
+            target.accept(unanswered(message));
+            return;
+        }
+        chance -= conditions.unanswered();
+        if (chance < conditions.late()) {
+            deliverLater(message, target);
+            return;
+        }
+        if (chance - conditions.late() < conditions.copied()) {
+            deliverLater(message, target);
+        }
+        target.accept(slow(message));
+    }
+
+    private void deliverLater(SimulatedNetwork.Message message, Consumer<Call> target) {
+        Duration delay =
+                LEAST_LATE.plusMillis(random.nextLong(1 + conditions.latest().toMillis()));
+        loop.after(delay, () -> target.accept(unanswered(message)));
+    }
+
+    private static SimulatedNetwork.Message unanswered(SimulatedNetwork.Message message) {
+        return withReply(message, reply -> {});
+    }
+
+    private SimulatedNetwork.Message slow(SimulatedNetwork.Message message) {
+        if (conditions.slowest().isZero()) {
+            return message;
+        }
+        Duration delay = Duration.ofMillis(random.nextLong(conditions.slowest().toMillis()));
+        return withReply(
+                message, reply -> loop.after(delay, () -> message.reply().accept(reply)));
+    }
+
+    private static SimulatedNetwork.Message withReply(SimulatedNetwork.Message message, Consumer<Reply> reply) {
+        return new SimulatedNetwork.Message(
+                message.from(), message.method(), message.path(), message.query(), message.body(), reply);
+    }
+}
