Soak: processes are started beside the event loop, servers beforehand, and a bound on the check's cost

Cause: starting servers and processes stalled the event loop of the stand-ins for 830 ms, which made leases inconclusive.

--- a/src/test/java/org/gullway/LoopbackCluster.java
+++ b/src/test/java/org/gullway/LoopbackCluster.java
@@ -6,8 +6,11 @@
 import java.nio.file.Files;
 import java.nio.file.Path;
 import java.time.Duration;
+import java.util.ArrayDeque;
 import java.util.ArrayList;
 import java.util.Comparator;
+import java.util.Deque;
+import java.util.HashMap;
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
@@ -15,6 +18,8 @@
 import java.util.SplittableRandom;
 import java.util.TreeMap;
 import java.util.concurrent.ConcurrentSkipListMap;
+import java.util.concurrent.ExecutorService;
+import java.util.concurrent.Executors;
 import java.util.concurrent.TimeUnit;
 import java.util.function.Consumer;
 import java.util.stream.Stream;
@@ -46,11 +51,13 @@
     private static final Duration PEER_LIMIT = Duration.ofSeconds(4);
     private static final Duration PATIENCE = Duration.ofSeconds(10);
     private static final int CAPACITY = 4;
+    private static final String OPERATOR_SETTINGS = "operator.xml";
+    private static final int SPARE_SERVERS = 40;
     private static final int BODY_LIMIT = 64 * 1024;
     private static final int SOCKETS = 10_000;
     private static final int HEAP_MB = 96;
 
-    final XnioEventLoop loop;
+    final StoppableEventLoop loop;
     final HttpClient client;
     final FakeStateStore store;
     final FakeCloud cloud;
@@ -64,6 +71,11 @@
     private final Map<String, String> publicAddresses = new LinkedHashMap<>();
     private final Map<String, String> meshAddresses = new LinkedHashMap<>();
     private final Map<String, Process> processes = new ConcurrentSkipListMap<>();
+    private final Map<String, Consumer<Call>> handlers = new HashMap<>();
+    private final Deque<String> spareServers = new ArrayDeque<>();
+    /** Starts and signals processes, which takes long beside what the event loop does. */
+    private final ExecutorService starter = Executors.newSingleThreadExecutor();
+
     private final Path directory;
     private final Consumer<String> ended;
     /** Ends the processes also when this one is ended from outside. */
@@ -79,8 +91,9 @@
         this.directory = Files.createTempDirectory("gullway-soak");
         this.worker = Xnio.getInstance()
                 .createWorker(OptionMap.create(Options.WORKER_IO_THREADS, 1, Options.THREAD_DAEMON, true));
-        this.loop = new XnioEventLoop(worker.getIoThread());
-        this.client = new HttpClient(loop, buffers, sockets, Set.of());
+        XnioEventLoop ioLoop = new XnioEventLoop(worker.getIoThread());
+        this.loop = new StoppableEventLoop(ioLoop);
+        this.client = new HttpClient(ioLoop, buffers, sockets, Set.of());
         this.store = new FakeStateStore(loop);
         for (int i = 0; i < 3; i++) {
             publicAddresses.put("perch-" + i, LoopbackAddresses.free());
@@ -102,7 +115,7 @@
     }
 
     private FakeWorker boot(String name, FakeWorker.Kind kind, MachineListener machines) {
-        String address = LoopbackAddresses.free();
+        String address = spareServers.isEmpty() ? listenLater() : spareServers.remove();
         FakeWorker machine = new FakeWorker(
                 loop,
                 link(name + ">controllers").client(client),
@@ -114,10 +127,18 @@
                 publicAddresses,
                 REPORT,
                 LEASE);
-        listen(address, link("controllers>" + name).server("", machine::handle));
+        handlers.put(address, link("controllers>" + name).server("", machine::handle));
         return machine;
     }
 
+    /** A server whose handler comes later; to start one takes this process a while. */
+    private String listenLater() {
+        String address = LoopbackAddresses.free();
+        listen(address, call -> handlers.getOrDefault(address, c -> c.answer(404, new byte[0]))
+                .accept(call));
+        return address;
+    }
+
     private FaultyLink link(String name) {
         return links.computeIfAbsent(name, n -> new FaultyLink(loop, random.split()));
     }
@@ -128,6 +149,12 @@
 
     /** Starts everything. */
     void start() {
+        for (int i = 0; i < SPARE_SERVERS; i++) {
+            spareServers.add(listenLater());
+        }
+        write(
+                OPERATOR_SETTINGS,
+                "<gullway><membership-lease-s>" + MEMBERSHIP.toSeconds() + "</membership-lease-s></gullway>");
         for (String name : nodes()) {
             String state = LoopbackAddresses.free();
             String cloudAddress = LoopbackAddresses.free();
@@ -248,12 +275,10 @@
     // Processes
 
     void startController(String name) {
-        if (processes.containsKey(name)) {
-            return;
-        }
-        Path operator = write(
-                "operator.xml",
-                "<gullway><membership-lease-s>" + MEMBERSHIP.toSeconds() + "</membership-lease-s></gullway>");
+        starter.execute(() -> processes.computeIfAbsent(name, this::startProcess));
+    }
+
+    private Process startProcess(String name) {
         ProcessBuilder builder = new ProcessBuilder(
                 Path.of(System.getProperty("java.home"), "bin", "java").toString(),
                 "-Xmx" + HEAP_MB + "m",
@@ -266,14 +291,14 @@
                 "--config",
                 directory.resolve(name + ".toml").toString(),
                 "--operator-settings",
-                operator.toString());
+                directory.resolve(OPERATOR_SETTINGS).toString());
         builder.environment().put("LOG_LEVEL", "debug");
         builder.redirectErrorStream(true);
         builder.redirectOutput(ProcessBuilder.Redirect.appendTo(log(name).toFile()));
         try {
             Process process = builder.start();
-            processes.put(name, process);
             process.onExit().thenAccept(exited -> loop.execute(() -> exited(name, exited)));
+            return process;
         } catch (IOException e) {
             throw new UncheckedIOException(e);
         }
@@ -287,20 +312,27 @@
 
     /** Ends the process at once, as a crash does. */
     void kill(String name) {
-        Process process = processes.remove(name);
-        if (process != null) {
-            process.destroyForcibly();
-        }
+        starter.execute(() -> {
+            Process process = processes.remove(name);
+            if (process != null) {
+                process.destroyForcibly();
+            }
+        });
     }
 
     /** Stops the process where it is, or lets it go on. */
     void pause(String name, boolean on) {
-        Process process = processes.get(name);
-        if (process == null) {
-            return;
-        }
+        starter.execute(() -> {
+            Process process = processes.get(name);
+            if (process != null) {
+                signal(process, on ? "-STOP" : "-CONT");
+            }
+        });
+    }
+
+    private static void signal(Process process, String signal) {
         try {
-            new ProcessBuilder("kill", on ? "-STOP" : "-CONT", Long.toString(process.pid())).start();
+            new ProcessBuilder("kill", signal, Long.toString(process.pid())).start();
         } catch (IOException e) {
             throw new UncheckedIOException(e);
         }
@@ -350,9 +382,13 @@
     /** Ends all processes and forgets their files. */
     @Override
     public void close() {
-        List<Process> all = killAll();
-        Runtime.getRuntime().removeShutdownHook(atShutdown);
+        loop.stop();
+        starter.shutdown();
         try {
+            // A process that is just being started must not be left behind.
+            starter.awaitTermination(PATIENCE.toSeconds(), TimeUnit.SECONDS);
+            List<Process> all = killAll();
+            Runtime.getRuntime().removeShutdownHook(atShutdown);
             for (Process process : all) {
                 process.waitFor(PATIENCE.toSeconds(), TimeUnit.SECONDS);
             }
--- a/src/test/java/org/gullway/SoakRun.java
+++ b/src/test/java/org/gullway/SoakRun.java
@@ -9,6 +9,8 @@
 import java.util.TreeSet;
 import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.TimeUnit;
+import java.util.logging.Level;
+import java.util.logging.Logger;
 import java.util.regex.Matcher;
 import java.util.regex.Pattern;
 import org.gullway.protocol.JobRequest;
@@ -38,6 +40,7 @@
      * @param broken rules that were broken
      * @param unfinished jobs that were not over at the end
      * @param stall the longest pause of this process itself
+     * @param stalledAt when it ended
      */
     record Outcome(
             long seed,
@@ -46,6 +49,7 @@
             int jobs,
             int starts,
             Duration stall,
+            Instant stalledAt,
             String report) {
         boolean conclusive() {
             return stall.compareTo(LONGEST_STALL) <= 0;
@@ -66,7 +70,8 @@
         public String toString() {
             return "seed " + seed + ": " + (broken.isEmpty() ? "no rule broken" : "BROKEN " + broken) + ", " + jobs
                     + " jobs, " + starts + " starts, unfinished " + unfinished.size() + ", longest stall "
-                    + stall.toMillis() + " ms" + (conclusive() ? "" : " (leases inconclusive)");
+                    + stall.toMillis() + " ms at " + JobHistory.text(stalledAt).strip()
+                    + (conclusive() ? "" : " (leases inconclusive)");
         }
     }
 
@@ -79,6 +84,7 @@
     private LoopbackCluster cluster;
     private Users users;
     private Instant lastTick;
+    private Instant stalledAt = Instant.EPOCH;
     private Duration longestStall = Duration.ZERO;
     private int jobs;
     private boolean submitting = true;
@@ -140,7 +146,10 @@
         Instant now = cluster.loop.now();
         if (lastTick != null) {
             Duration late = Duration.between(lastTick, now).minus(TICK);
-            longestStall = late.compareTo(longestStall) > 0 ? late : longestStall;
+            if (late.compareTo(longestStall) > 0) {
+                longestStall = late;
+                stalledAt = now;
+            }
         }
         lastTick = now;
         cluster.loop.after(TICK, this::tick);
@@ -199,6 +208,7 @@
                 jobs,
                 rules.starts(),
                 longestStall,
+                stalledAt,
                 rules.broken.isEmpty() ? "" : report());
     }
 
@@ -224,6 +234,7 @@
 
     /** Arguments: the first seed, how many runs, and for how many seconds each is under faults. */
     public static void main(String[] arguments) throws Exception {
+        Logger.getLogger("io.undertow").setLevel(Level.WARNING);
         long first = Long.parseLong(arguments[0]);
         int runs = Integer.parseInt(arguments[1]);
         Length length = new Length(Duration.ofSeconds(Long.parseLong(arguments[2])), Duration.ofSeconds(30));
--- a/src/test/java/org/gullway/requests/StateAnswersTest.java
+++ b/src/test/java/org/gullway/requests/StateAnswersTest.java
@@ -2,6 +2,8 @@
 
 import static org.assertj.core.api.Assertions.assertThat;
 
+import com.sun.management.ThreadMXBean;
+import java.lang.management.ManagementFactory;
 import java.time.Duration;
 import java.time.Instant;
 import java.util.ArrayList;
@@ -14,6 +16,7 @@
 import net.jqwik.api.constraints.IntRange;
 import org.gullway.fake.SimulatedNetwork;
 import org.gullway.fake.SimulatedTime;
+import org.gullway.protocol.Cbor;
 import org.gullway.protocol.JobState;
 import org.gullway.protocol.JobStatus;
 import org.gullway.transport.Reply;
@@ -22,6 +25,10 @@
 /** Every form of answer with a state is refused for now, and reported, if its evidence is older than the request. */
 class StateAnswersTest {
     private static final String JOB = "run-000001";
+    private static final int MEASURED = 5_000;
+    /** The check itself needs about 24. */
+    private static final long MOST_BYTES = 200;
+
     private static final Instant CAME = Instant.EPOCH.plusSeconds(10);
     private static final JobStatus PENDING = new JobStatus(JOB, JobState.PENDING, 0, 0);
     private static final JobStatus CANCELLED = new JobStatus(JOB, JobState.CANCELLED, 0, 0);
@@ -85,4 +92,30 @@
         }
         assertThat(violations).isEmpty();
     }
+
+    /** The check and the evidence are on the way of every answer, on controllers with a small part of a processor. */
+    @Test
+    void theCheckAllocatesLittleBesideTheBodyOfTheAnswer() {
+        ThreadMXBean threads = (ThreadMXBean) ManagementFactory.getThreadMXBean();
+        SimulatedNetwork.Message call =
+                new SimulatedNetwork.Message("users", "GET", "/v2/runs/" + JOB, "", new byte[0], reply -> {});
+        UserCall user = new UserCall(call, CAME);
+        JobFinding found = found(PENDING, CAME);
+        long checked = 0;
+        long bodies = 0;
+        for (int i = -MEASURED; i < MEASURED; i++) {
+            if (i == 0) {
+                // Classes are loaded by now.
+                checked = 0;
+                bodies = 0;
+            }
+            long before = threads.getCurrentThreadAllocatedBytes();
+            answers.answerQuestion(user, found);
+            long between = threads.getCurrentThreadAllocatedBytes();
+            call.answer(200, Cbor.encode(PENDING.toNode()));
+            checked += between - before;
+            bodies += threads.getCurrentThreadAllocatedBytes() - between;
+        }
+        assertThat((checked - bodies) / MEASURED).as("bytes an answer").isLessThan(MOST_BYTES);
+    }
 }
