--- a/src/test/java/org/gullway/FaultSchedule.java
+++ b/src/test/java/org/gullway/FaultSchedule.java
@@ -4,7 +4,9 @@
 import java.util.ArrayList;
 import java.util.Comparator;
 import java.util.List;
+import java.util.Objects;
 import java.util.SplittableRandom;
+import java.util.stream.Stream;
 import org.gullway.fake.FaultyLink.Conditions;
 
 /** Faults at random moments, which follow from a seed. */
@@ -12,6 +14,12 @@
     /** Beyond the lease of workers. */
     private static final Duration LATEST = LoopbackCluster.LEASE.plusSeconds(1);
 
+    private static final Conditions LOSSY_STATE = new Conditions(0.02, 0.1, 0.1, LATEST, 0, Duration.ofMillis(400));
+    private static final Conditions SLOW_STATE = new Conditions(0, 0, 0, Duration.ZERO, 0, Duration.ofMillis(800));
+    /** Workers and users: their requests are lost, late or repeated. */
+    private static final Conditions LOSSY_CLIENTS =
+            new Conditions(0.05, 0.05, 0.1, LATEST, 0.3, Duration.ofMillis(200));
+
     /** One fault; it ends by itself. */
     record Fault(Duration at, String description, Action action) {
         @Override
@@ -53,22 +61,20 @@
     }
 
     private void add(Duration at) {
-        switch (random.nextInt(12)) {
+        switch (random.nextInt(16)) {
             case 0, 1 -> kill(at, node(), random.nextBoolean() ? millis(30, 900) : millis(900, 4000));
             case 2 -> killLeader(at, millis(30, 3000));
             case 3 -> killAll(at, millis(30, 900));
             case 4 -> pause(at, node(), millis(100, 5000));
             case 5 -> cut(at, node() + ">state", millis(300, 6000));
             case 6 -> cutPeers(at, node(), millis(300, 6000));
-            case 7 -> troubled(
-                    at, ">state", new Conditions(0.02, 0.1, 0.1, LATEST, 0, millis(1, 400)), millis(1000, 5000));
-            case 8 -> troubled(
-                    at,
-                    ">controllers",
-                    new Conditions(0.05, 0.05, 0.1, LATEST, 0.3, millis(1, 200)),
-                    millis(1000, 6000));
-            case 9 -> stateService(at, millis(200, 4000));
-            case 10 -> refused(at, node(), millis(300, 4000));
+            case 7 -> troubled(at, ">state", LOSSY_STATE, millis(1000, 5000));
+            case 8, 9 -> troubled(at, ">state", SLOW_STATE, millis(1000, 8000));
+            case 10 -> troubled(at, ">controllers", LOSSY_CLIENTS, millis(1000, 6000));
+            case 11 -> stateService(at, millis(200, 4000));
+            case 12 -> refused(at, node(), millis(300, 4000));
+            case 13 -> cut(at, node() + ">cloud", millis(300, 6000));
+            case 14 -> cutMachines(at, random.nextInt(1, 4), millis(300, 8000));
             default -> machines(at, random.nextInt(1, 4), millis(300, 6000));
         }
     }
@@ -115,6 +121,30 @@
         });
     }
 
+    /** Machines that reach no controller, that no command reaches, or both. */
+    private void cutMachines(Duration at, int count, Duration span) {
+        int directions = random.nextInt(1, 4);
+        boolean mute = (directions & 1) != 0;
+        boolean deaf = (directions & 2) != 0;
+        add(
+                at,
+                count + " machines are" + (mute ? " mute" : "") + (deaf ? " deaf" : "") + " for " + span.toMillis()
+                        + " ms",
+                cluster -> {
+                    List<String> names = cluster.cloud.workers().stream()
+                            .limit(count)
+                            .flatMap(machine -> Stream.of(
+                                    mute ? machine.name() + ">controllers" : null,
+                                    deaf ? "controllers>" + machine.name() : null))
+                            .filter(Objects::nonNull)
+                            .toList();
+                    names.forEach(name -> cluster.links.get(name).cut(true));
+                    cluster.loop.after(
+                            span,
+                            () -> names.forEach(name -> cluster.links.get(name).cut(false)));
+                });
+    }
+
     private void cutPeers(Duration at, String node, Duration span) {
         for (int i = 0; i < 3; i++) {
             String peer = "perch-" + i;
--- a/src/test/java/org/gullway/LoopbackCluster.java
+++ b/src/test/java/org/gullway/LoopbackCluster.java
@@ -30,6 +30,7 @@
 import org.gullway.fake.FaultyLink;
 import org.gullway.protocol.MachineType;
 import org.gullway.transport.Call;
+import org.gullway.transport.Client;
 import org.gullway.transport.HttpClient;
 import org.gullway.transport.HttpServer;
 import org.gullway.transport.Sockets;
@@ -58,7 +59,7 @@
     private static final int HEAP_MB = 96;
 
     final StoppableEventLoop loop;
-    final HttpClient client;
+    private final HttpClient client;
     final FakeStateStore store;
     final FakeCloud cloud;
     /** By the names of both parties, "from>to"; workers have one link to all controllers and one from them. */
@@ -139,6 +140,11 @@
         return address;
     }
 
+    /** What users reach the controllers with. */
+    Client userClient() {
+        return link("users>controllers").client(client);
+    }
+
     private FaultyLink link(String name) {
         return links.computeIfAbsent(name, n -> new FaultyLink(loop, random.split()));
     }
--- a/src/test/java/org/gullway/SoakRun.java
+++ b/src/test/java/org/gullway/SoakRun.java
@@ -120,7 +120,7 @@
     }
 
     private void begin(CountDownLatch over) {
-        users = new Users(cluster.loop, cluster.client, rules, random.split(), cluster.userAddresses());
+        users = new Users(cluster.loop, cluster.userClient(), rules, random.split(), cluster.userAddresses());
         users.recordIn(history);
         users.whenNews(user -> {
             users.lookClosely(user, random);
@@ -129,7 +129,8 @@
             }
         });
         cluster.start();
-        tick();
+        // Before that no lease can end.
+        cluster.loop.after(START, this::tick);
         cluster.loop.after(Duration.ofSeconds(1), this::submitNext);
         faults.forEach(
                 fault -> cluster.loop.after(fault.at(), () -> fault.action().run(cluster)));
