--- a/src/main/java/org/gullway/CommandSender.java
+++ b/src/main/java/org/gullway/CommandSender.java
@@ -7,6 +7,8 @@
 import java.util.function.BooleanSupplier;
 import java.util.function.Consumer;
 import org.gullway.coordination.CancelledTasks;
+import org.gullway.coordination.CommandBatch;
+import org.gullway.coordination.CommandOutcome;
 import org.gullway.coordination.MachineControl;
 import org.gullway.coordination.StartAuthorization;
 import org.gullway.protocol.Command;
@@ -60,7 +62,7 @@
     }
 
     /** Sends commands to a machine that this controller commands. */
-    void send(MachineControl.Push push) {
+    void send(CommandBatch push) {
         command(
                 push,
                 outcome -> machines.pushEnded(push, outcome, loop.now()),
@@ -75,7 +77,7 @@
     }
 
     /** The same push with only those starts that are allowed at this moment. */
-    private MachineControl.Push authorized(MachineControl.Push push) {
+    private CommandBatch authorized(CommandBatch push) {
         if (!push.starts()) {
             return push;
         }
@@ -88,7 +90,7 @@
         return push.with(allowed);
     }
 
-    private boolean mayStart(MachineControl.Push push, Command start) {
+    private boolean mayStart(CommandBatch push, Command start) {
         if (!entitled.getAsBoolean()) {
             LOG.debug("no start of {} on {}: not entitled any more", start.task(), push.machine());
             return false;
@@ -102,7 +104,7 @@
         return true;
     }
 
-    private void log(MachineControl.Push push) {
+    private void log(CommandBatch push) {
         for (Command command : push.commands()) {
             LOG.debug(
                     "{} of {}#{} to {} in session {} under epoch {} by revision {}",
@@ -116,9 +118,8 @@
         }
     }
 
-    private void command(
-            MachineControl.Push wanted, Consumer<MachineControl.Outcome> ended, Consumer<WorkerReport> answers) {
-        MachineControl.Push push = authorized(wanted);
+    private void command(CommandBatch wanted, Consumer<CommandOutcome> ended, Consumer<WorkerReport> answers) {
+        CommandBatch push = authorized(wanted);
         if (LOG.isDebugEnabled()) {
             log(push);
         }
@@ -126,7 +127,7 @@
         byte[] body = Command.direct(push.token(), push.session(), push.commands());
         http.call(push.address(), Reply.Request.post(PATH, body, LIMIT), reply -> {
             boolean answered = reply.kind() == Reply.Kind.ANSWERED && (reply.status() == 200 || reply.status() == 409);
-            ended.accept(answered ? MachineControl.Outcome.ANSWERED : outcomeWithoutAnswer(reply.kind()));
+            ended.accept(answered ? CommandOutcome.ANSWERED : outcomeWithoutAnswer(reply.kind()));
             if (answered) {
                 passOn(push, reply, answers);
             }
@@ -134,15 +135,15 @@
         });
     }
 
-    private static MachineControl.Outcome outcomeWithoutAnswer(Reply.Kind kind) {
+    private static CommandOutcome outcomeWithoutAnswer(Reply.Kind kind) {
         return switch (kind) {
-            case NO_SOCKET -> MachineControl.Outcome.NOT_TRIED;
-            case NOT_SENT -> MachineControl.Outcome.NOT_SENT;
-            default -> MachineControl.Outcome.UNKNOWN;
+            case NO_SOCKET -> CommandOutcome.NOT_TRIED;
+            case NOT_SENT -> CommandOutcome.NOT_SENT;
+            default -> CommandOutcome.UNKNOWN;
         };
     }
 
-    private void passOn(MachineControl.Push push, Reply reply, Consumer<WorkerReport> answers) {
+    private void passOn(CommandBatch push, Reply reply, Consumer<WorkerReport> answers) {
         try {
             answers.accept(WorkerReport.parse(reply.body(), machines::lastMessage));
         } catch (MalformedException e) {
--- a/src/main/java/org/gullway/ReportHandler.java
+++ b/src/main/java/org/gullway/ReportHandler.java
@@ -8,6 +8,7 @@
 import org.gullway.coordination.ClusterView;
 import org.gullway.coordination.LeaseRenewalPolicy;
 import org.gullway.coordination.MachineControl;
+import org.gullway.coordination.ReportAnswer;
 import org.gullway.protocol.Command;
 import org.gullway.protocol.MalformedException;
 import org.gullway.protocol.ReportResponses;
@@ -91,13 +92,13 @@
         return WorkerReport.parse(call.body(), machines::lastMessage);
     }
 
-    private void answer(Call call, MachineControl.Answer answer) {
-        if (answer instanceof MachineControl.Answer.Commands commands) {
+    private void answer(Call call, ReportAnswer answer) {
+        if (answer instanceof ReportAnswer.Commands commands) {
             call.answer(200, responses.encode(commands.token(), commands.commands()));
             if (commands.changed()) {
                 schedule.run();
             }
-        } else if (answer instanceof MachineControl.Answer.Elsewhere elsewhere) {
+        } else if (answer instanceof ReportAnswer.Elsewhere elsewhere) {
             call.answer(421, Command.redirect(elsewhere.controller()));
         } else {
             call.refuse(503, RETRY_AFTER);
--- a/src/main/java/org/gullway/coordination/CancelledTasks.java
+++ b/src/main/java/org/gullway/coordination/CancelledTasks.java
@@ -9,7 +9,6 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Set;
-import org.gullway.coordination.MachineControl.Push;
 import org.gullway.protocol.Cancellations;
 import org.gullway.protocol.Command;
 import org.gullway.protocol.TaskId;
@@ -167,7 +166,7 @@
     }
 
     /** Stops for all machines on which cancelled tasks may be, whoever commands them. */
-    public List<Push> press(Instant now) {
+    public List<CommandBatch> press(Instant now) {
         Map<String, List<Command>> due = new LinkedHashMap<>();
         for (Left left : left()) {
             if (!gone.contains(left.id())) {
@@ -175,7 +174,7 @@
                         .add(Command.stop(left.id().task(), left.id().attempt(), Duration.ZERO));
             }
         }
-        List<Push> pushes = new ArrayList<>();
+        List<CommandBatch> pushes = new ArrayList<>();
         due.forEach((name, stops) -> {
             MachineRecord machine = view.machine(name);
             Instant before = pressedAt.getOrDefault(name, Instant.MIN);
@@ -184,14 +183,14 @@
                     && !before.plus(PRESS_AGAIN).isAfter(now)) {
                 pressing++;
                 pressedAt.put(name, Instant.MAX.minus(PRESS_AGAIN));
-                pushes.add(new Push(name, machine.address(), view.epoch(), machine.session(), stops, now));
+                pushes.add(new CommandBatch(name, machine.address(), view.epoch(), machine.session(), stops, now));
             }
         });
         return pushes;
     }
 
     /** The command has ended, whatever became of it. */
-    public void pressed(Push push, Instant now) {
+    public void pressed(CommandBatch push, Instant now) {
         pressing--;
         pressedAt.computeIfPresent(push.machine(), (name, before) -> now);
     }
--- /dev/null
+++ b/src/main/java/org/gullway/coordination/CommandOutcome.java
@@ -0,0 +1,11 @@
+package org.gullway.coordination;
+
+/** What became of a batch of commands. */
+public enum CommandOutcome {
+    ANSWERED,
+    /** This controller had no socket for it, which says nothing about the worker. */
+    NOT_TRIED,
+    NOT_SENT,
+    /** The worker may have got it, or may still get it. */
+    UNKNOWN
+}
--- a/src/main/java/org/gullway/coordination/MachineControl.java
+++ b/src/main/java/org/gullway/coordination/MachineControl.java
@@ -10,12 +10,9 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Set;
-import java.util.TreeMap;
-import org.gullway.coordination.JobRecord.End;
 import org.gullway.coordination.MachineRecord.Disposition;
 import org.gullway.protocol.Command;
 import org.gullway.protocol.EndNotice;
-import org.gullway.protocol.JobRequest;
 import org.gullway.protocol.TaskReport;
 import org.gullway.protocol.WorkerReport;
 import org.slf4j.Logger;
@@ -34,10 +31,6 @@
     /** Beyond the longest pause between two reports; a worker that hears nobody takes far longer to come by again. */
     private static final Duration RETURN_MARGIN = Duration.ofSeconds(1);
 
-    private static final Duration TELL_AGAIN = Duration.ofMillis(1500);
-    /** After that the end is recorded here: the keeper may be out of reach, or change again and again. */
-    private static final Duration TOLD_IN_VAIN = Duration.ofSeconds(4);
-
     /** What is kept for machines that are gone or commanded elsewhere does no harm meanwhile. */
     private static final Duration TIDY_EVERY = Duration.ofSeconds(2);
 
@@ -52,7 +45,8 @@
     private final ClusterView view;
     private final Incarnation self;
     private final Duration reportInterval;
-    private final EndedAttempts ended;
+    private final CommandPlanner planner;
+    private final EndReporter ends;
     private final CancelledTasks cancelled;
     private final Map<String, Worker> workers = new LinkedHashMap<>();
     private final LookTimes lookTimes = new LookTimes();
@@ -65,7 +59,6 @@
 
     private final GroupTakeover takeover;
 
-    private final Map<String, List<EndNotice>> notices = new TreeMap<>();
     private final FailingJobs failingJobs;
 
     private int pushing;
@@ -85,7 +78,8 @@
         this.view = view;
         this.self = self;
         this.reportInterval = reportInterval;
-        this.ended = ended;
+        this.planner = new CommandPlanner(view);
+        this.ends = new EndReporter(view, self, ended);
         this.cancelled = cancelled;
         this.failingJobs = new FailingJobs(view);
         this.takeover = new GroupTakeover(view, self, workers);
@@ -97,30 +91,6 @@
         silent.entitled(entitled, now);
     }
 
-    /** How a report is answered. */
-    public sealed interface Answer {
-        /** @param changed whether the report may give this controller something to do */
-        record Commands(long token, List<Command> commands, boolean changed) implements Answer {}
-
-        /** The worker should report to another controller; null leaves the choice to it. */
-        record Elsewhere(String controller) implements Answer {}
-
-        /** This controller's knowledge is behind the worker's. */
-        record NotYet() implements Answer {}
-    }
-
-    /** Commands to be sent to a worker now. */
-    public record Push(String machine, String address, long token, long session, List<Command> commands, Instant sent) {
-        public boolean starts() {
-            return commands.stream().anyMatch(c -> c.kind() == Command.Kind.START);
-        }
-
-        /** The same with these commands instead. */
-        public Push with(List<Command> others) {
-            return new Push(machine, address, token, session, others, sent);
-        }
-    }
-
     private Worker worker(String machine, Instant now) {
         return workers.computeIfAbsent(machine, m -> new Worker(now, at -> lookTimes.add(m, at)));
     }
@@ -142,14 +112,14 @@
      *
      * @return the commands that the answer carries, or where the worker should report instead
      */
-    public Answer report(WorkerReport report, Instant now) {
+    public ReportAnswer report(WorkerReport report, Instant now) {
         if (report.token() > view.epoch()) {
-            return new Answer.NotYet();
+            return new ReportAnswer.NotYet();
         }
         MachineRecord record = view.machine(report.machine());
         if (record == null) {
             // It comes on record by the cloud's answer or list, never by a report alone: that may be an old copy.
-            return new Answer.Commands(view.epoch(), cancelled.stops(report), false);
+            return new ReportAnswer.Commands(view.epoch(), cancelled.stops(report), false);
         }
         if (!self.equals(record.controller())) {
             String better = view.isLive(record.controller())
@@ -158,8 +128,8 @@
             if (!self.node().equals(better)) {
                 // While its group is being taken over, an answer keeps its lease; the way back there would only fail.
                 return stray(record, now)
-                        ? new Answer.Commands(view.epoch(), cancelled.stops(report), true)
-                        : new Answer.Elsewhere(better);
+                        ? new ReportAnswer.Commands(view.epoch(), cancelled.stops(report), true)
+                        : new ReportAnswer.Elsewhere(better);
             }
         }
         Worker known = worker(report.machine(), now);
@@ -171,8 +141,10 @@
         }
         known.strayed(null);
         List<Command> commands = new ArrayList<>(cancelled.stops(report));
-        commands.addAll(forgets(known, record));
-        return new Answer.Commands(view.epoch(), commands, changed);
+        if (commands(record, known) && known.fenced(record)) {
+            commands.addAll(planner.forgets(record, known));
+        }
+        return new ReportAnswer.Commands(view.epoch(), commands, changed);
     }
 
     /** Whether a worker that was sent on is back because it cannot reach its controller, and may stay for one report. */
@@ -207,22 +179,12 @@
         }
     }
 
-    /** What became of a push. */
-    public enum Outcome {
-        ANSWERED,
-        /** This controller had no socket for it, which says nothing about the worker. */
-        NOT_TRIED,
-        NOT_SENT,
-        /** The worker may have got it, or may still get it. */
-        UNKNOWN
-    }
-
     /** Takes the outcome of a command that {@link #pushes} asked to send; every one of them must have exactly one. */
-    public void pushEnded(Push push, Outcome outcome, Instant now) {
+    public void pushEnded(CommandBatch push, CommandOutcome outcome, Instant now) {
         pushing--;
         Worker worker = workers.get(push.machine());
         if (worker != null) {
-            if (outcome == Outcome.UNKNOWN && push.starts()) {
+            if (outcome == CommandOutcome.UNKNOWN && push.starts()) {
                 worker.startUnknown(push.token());
                 noteTrouble(push.machine(), worker);
             }
@@ -249,22 +211,6 @@
                 && worker.newest().session() == record.session();
     }
 
-    private List<Command> forgets(Worker worker, MachineRecord record) {
-        if (!commands(record, worker)
-                || !worker.fenced(record)
-                || worker.tasks().isEmpty()) {
-            return List.of();
-        }
-        List<Command> list = new ArrayList<>();
-        Map<AttemptId, Placement> wanted = view.placementsOn(record.name());
-        worker.tasks().forEach((id, task) -> {
-            if (task.ended() && !wanted.containsKey(id) && worker.mayForget(id, task)) {
-                list.add(Command.forget(id.task(), id.attempt()));
-            }
-        });
-        return list;
-    }
-
     /** Notes which machines the records show as changed. */
     private void touched(Instant now) {
         for (String name : view.drainTouched()) {
@@ -278,10 +224,10 @@
     }
 
     /** All commands that are due now, one push for each machine; ends that are seen are noted for their keepers. */
-    public List<Push> pushes(Instant now) {
+    public List<CommandBatch> pushes(Instant now) {
         touched(now);
         Instant recent = now.minus(reportInterval.multipliedBy(2));
-        List<Push> pushes = new ArrayList<>();
+        List<CommandBatch> pushes = new ArrayList<>();
         for (String name : lookTimes.takeDue(now)) {
             looks++;
             Worker worker = workers.get(name);
@@ -297,7 +243,8 @@
                 continue;
             }
             if (commands(record, worker)) {
-                ends(record, worker, now);
+                ends.observe(record, worker, now);
+                noteTrouble(name, worker);
             }
             if (worker.heard().isBefore(recent)) {
                 // Most likely it is gone; its report would bring it back here.
@@ -308,12 +255,9 @@
                 worker.look(now.plusMillis(50));
                 continue;
             }
-            List<Command> commands = new ArrayList<>();
             boolean known = commands(record, worker);
             boolean fenced = known && worker.fenced(record);
-            if (fenced) {
-                difference(record, worker, commands);
-            }
+            List<Command> commands = fenced ? planner.difference(record, worker) : List.of();
             // Without commands it asks the worker to confirm the epoch and to say what is there.
             boolean unknown = worker.newest() == null || worker.newest().session() < record.session();
             boolean introduce = unknown || known && !fenced && worker.newest().token() < view.epoch();
@@ -325,7 +269,8 @@
             if (!commands.isEmpty() || introduce || worker.deafSince() != null) {
                 worker.commandSent();
                 pushing++;
-                pushes.add(new Push(record.name(), record.address(), view.epoch(), record.session(), commands, now));
+                pushes.add(new CommandBatch(
+                        record.name(), record.address(), view.epoch(), record.session(), commands, now));
             }
         }
         return pushes;
@@ -336,95 +281,14 @@
         return looks;
     }
 
-    private void difference(MachineRecord record, Worker worker, List<Command> commands) {
-        Map<AttemptId, Placement> wanted = view.placementsOn(record.name());
-        wanted.forEach((id, placement) -> {
-            if (placement.session() != record.session()) {
-                return;
-            }
-            JobRecord job = view.job(id.task().job());
-            TaskReport task = worker.tasks().get(id);
-            boolean stop = placement.stopping() || job.cancelled();
-            if (task == null && !stop) {
-                commands.add(Command.start(id.task(), id.attempt()));
-            } else if (task != null && stop && !task.ended() && task.phase() != TaskReport.Phase.SAVING) {
-                commands.add(Command.stop(id.task(), id.attempt(), grace(job)));
-            } else if (task != null && job.cancelled() && task.phase() == TaskReport.Phase.SAVING) {
-                commands.add(Command.stop(id.task(), id.attempt(), Duration.ZERO));
-            }
-        });
-        worker.tasks().forEach((id, task) -> {
-            if (!task.ended() && !wanted.containsKey(id)) {
-                commands.add(Command.stop(id.task(), id.attempt(), Duration.ZERO));
-            }
-        });
-    }
-
-    private static Duration grace(JobRecord job) {
-        JobRequest request = job.request();
-        return job.cancelled() || !request.saves()
-                ? Duration.ZERO
-                : request.save().multipliedBy(2).plusSeconds(1);
-    }
-
-    /** Notes attempts that have certainly ended: the keeper of each job records them. */
-    private void ends(MachineRecord record, Worker worker, Instant now) {
-        boolean fenced = worker.fenced(record);
-        view.placementsOn(record.name()).forEach((id, placement) -> {
-            if (placement.session() != record.session()) {
-                return;
-            }
-            JobRecord job = view.job(id.task().job());
-            TaskReport task = worker.tasks().get(id);
-            if (task == null) {
-                if (fenced && !worker.commanding() && (placement.stopping() || job.cancelled())) {
-                    tell(job, id, End.STOPPED, worker, now);
-                }
-            } else if (task.ended() && task.cause() == TaskReport.Cause.DONE) {
-                worker.succeeded();
-                tell(job, id, End.DONE, worker, now);
-            } else if (task.ended() && fenced) {
-                boolean failed =
-                        switch (task.cause()) {
-                            case ERROR, UNKNOWN_JOB, OTHER -> true;
-                            default -> false;
-                        };
-                if (failed) {
-                    worker.failed(job.request().id(), now);
-                    noteTrouble(record.name(), worker);
-                }
-                tell(job, id, failed ? End.FAILED : End.STOPPED, worker, now);
-            }
-        });
-    }
-
-    private void tell(JobRecord job, AttemptId id, End end, Worker worker, Instant now) {
-        worker.look(now.plus(TELL_AGAIN));
-        Incarnation leader = view.leader();
-        String keeper = job.reserved() ? leader == null ? null : leader.node() : job.owner();
-        if (self.node().equals(keeper) || worker.toldBefore(id, now.minus(TOLD_IN_VAIN))) {
-            ended.add(id, end, now);
-        }
-        if (keeper != null && !self.node().equals(keeper) && worker.mayTell(id, now, TELL_AGAIN)) {
-            notices.computeIfAbsent(keeper, k -> new ArrayList<>())
-                    .add(new EndNotice(id.task(), id.attempt(), (byte) end.ordinal()));
-        }
-    }
-
     /** Ends to be told to the keepers of their jobs, by node; each batch is asked for once. */
     public Map<String, List<EndNotice>> drainNotices() {
-        Map<String, List<EndNotice>> drained = new TreeMap<>(notices);
-        notices.clear();
-        return drained;
+        return ends.drainNotices();
     }
 
     /** Ends that the controller of a machine has seen. */
-    public void noticed(Collection<EndNotice> ends, Instant now) {
-        for (EndNotice notice : ends) {
-            if (notice.end() >= 0 && notice.end() < End.values().length) {
-                ended.add(new AttemptId(notice.task(), notice.attempt()), End.values()[notice.end()], now);
-            }
-        }
+    public void noticed(Collection<EndNotice> notices, Instant now) {
+        ends.noticed(notices, now);
     }
 
     /** Takes over groups, records sessions, and marks machines that are faulty, silent, deaf or about to be taken. */
@@ -518,7 +382,7 @@
                 return;
             }
             Placement current = job.placementOf(placement.task(), placement.attempt());
-            Instant latest = worker.noticeEnd().minus(grace(job)).minus(NOTICE_MARGIN);
+            Instant latest = worker.noticeEnd().minus(CommandPlanner.grace(job)).minus(NOTICE_MARGIN);
             if (current != null && !current.stopping() && !now.isBefore(latest)) {
                 draft.putJob(job.stopping(current::equals));
             }
--- a/src/main/java/org/gullway/coordination/StartAuthorization.java
+++ b/src/main/java/org/gullway/coordination/StartAuthorization.java
@@ -17,7 +17,7 @@
     }
 
     /** Why the start must not be sent; null if it may be. */
-    public String objection(MachineControl.Push push, Command start) {
+    public String objection(CommandBatch push, Command start) {
         MachineRecord machine = view.machine(push.machine());
         if (machine == null || !machine.up() || !self.equals(machine.controller())) {
             return "the machine is not commanded here";
--- a/src/test/java/org/gullway/SoakRun.java
+++ b/src/test/java/org/gullway/SoakRun.java
@@ -29,6 +29,8 @@
     /** A longer pause of this process makes workers look late, which no controller can know. */
     private static final Duration LONGEST_STALL = Duration.ofMillis(250);
 
+    private static final int MORE_SUBMISSIONS = 6;
+    private static final int MORE_SUBMISSIONS_WITHIN_MS = 60;
     private static final Pattern JOB = Pattern.compile("run-\\d{6}");
 
     /** How long a run goes on under faults, and how long afterwards. */
@@ -124,6 +126,9 @@
         users.recordIn(history);
         users.whenNews(user -> {
             users.lookClosely(user, random);
+            for (int i = 0; i < MORE_SUBMISSIONS; i++) {
+                cluster.loop.after(Duration.ofMillis(random.nextInt(MORE_SUBMISSIONS_WITHIN_MS)), user::submitAgain);
+            }
             if (!user.over() && random.nextInt(4) == 0) {
                 user.cancel();
             }
