Questions about one job share the body of their answer; returns are logged with their record

Cause: the check was made for each call and encoded the body each time; a thousand questions may share an answer.

--- a/src/main/java/org/gullway/CloudProvisioner.java
+++ b/src/main/java/org/gullway/CloudProvisioner.java
@@ -218,6 +218,9 @@
         List<String> batch =
                 names.stream().limit(CloudMessages.MOST_RETURNED_AT_ONCE).toList();
         returning = true;
+        if (LOG.isDebugEnabled()) {
+            batch.forEach(this::logReturn);
+        }
         http.call(address, Reply.Request.post("/rentals/return", CloudMessages.giveBack(batch), LIMIT), reply -> {
             returning = false;
             if (reply.ok()) {
@@ -231,6 +234,16 @@
         });
     }
 
+    private void logReturn(String name) {
+        MachineRecord machine = view.machine(name);
+        LOG.debug(
+                "return of {}, which is {}, by revision {} under epoch {}",
+                name,
+                machine == null ? "not on record" : machine.fate(),
+                view.machineMark(name),
+                view.epoch());
+    }
+
     private void list(String from, List<Listed> before) {
         String path = "/rentals?from=" + from + "&page=" + CloudMessages.PAGE;
         http.call(address, Reply.Request.get(path, LIMIT), reply -> {
--- a/src/main/java/org/gullway/requests/StateAnswers.java
+++ b/src/main/java/org/gullway/requests/StateAnswers.java
@@ -2,6 +2,7 @@
 
 import java.time.Duration;
 import java.time.Instant;
+import java.util.List;
 import java.util.function.Consumer;
 import java.util.function.Function;
 import org.gullway.protocol.Cbor;
@@ -33,32 +34,34 @@
         this.violated = violated;
     }
 
-    /** Answers a question: 200 with the whole state, or 404. */
-    boolean answerQuestion(UserCall call, JobFinding found) {
-        return answer(
-                call,
+    /** Answers questions about one job: 200 with the whole state, or 404. */
+    void answerQuestions(List<UserCall> calls, JobFinding found) {
+        answer(
+                calls,
                 found,
                 status -> status == null ? new Answer(404, EMPTY) : new Answer(200, Cbor.encode(status.toNode())));
     }
 
     /** Answers a submission whose job has just been recorded: 201 with the state that was committed. */
-    boolean answerAccepted(UserCall call, JobFinding committed) {
-        return answer(
-                call, committed, status -> new Answer(status.state().isFinal() ? 200 : 201, UserAnswers.state(status)));
+    void answerAccepted(UserCall call, JobFinding committed) {
+        answer(
+                List.of(call),
+                committed,
+                status -> new Answer(status.state().isFinal() ? 200 : 201, UserAnswers.state(status)));
     }
 
     /** Answers a cancellation: 200 with the final state, or 404. */
-    boolean answerCancellation(UserCall call, JobFinding found) {
-        return answer(
-                call,
+    void answerCancellation(UserCall call, JobFinding found) {
+        answer(
+                List.of(call),
                 found,
                 status -> status == null ? new Answer(404, EMPTY) : new Answer(200, UserAnswers.state(status)));
     }
 
     /** Answers a submission of a job that can never run: 422, unless it was accepted earlier. */
-    boolean answerImpossible(UserCall call, JobFinding found, String reason) {
-        return answer(
-                call,
+    void answerImpossible(UserCall call, JobFinding found, String reason) {
+        answer(
+                List.of(call),
                 found,
                 status -> status == null
                         ? new Answer(422, UserAnswers.error(reason))
@@ -67,20 +70,22 @@
 
     private record Answer(int status, byte[] body) {}
 
-    /** Returns whether the answer was allowed. */
-    private boolean answer(UserCall call, JobFinding found, Function<JobStatus, Answer> form) {
+    /** The body is made once, however many calls share the answer. */
+    private void answer(List<UserCall> calls, JobFinding found, Function<JobStatus, Answer> form) {
         JobFinding newest = newest(found);
-        if (!newest.evidence().covers(call.came())) {
-            violated.accept(describe(newest, call));
-            UserAnswers.refuse(call.call());
-            return false;
-        }
         Answer answer = form.apply(newest.status());
-        if (LOG.isDebugEnabled()) {
-            LOG.debug("{} to {}", answer.status(), describe(newest, call));
+        for (UserCall call : calls) {
+            if (newest.evidence().covers(call.came())) {
+                call.call().answer(answer.status(), answer.body());
+            } else {
+                violated.accept(describe(newest, call));
+                UserAnswers.refuse(call.call());
+            }
+        }
+        if (LOG.isDebugEnabled() && !calls.isEmpty()) {
+            UserCall last = calls.get(calls.size() - 1);
+            LOG.debug("answer {} to {} requests: {}", answer.status(), calls.size(), describe(newest, last));
         }
-        call.call().answer(answer.status(), answer.body());
-        return true;
     }
 
     /** A final state that has become known meanwhile replaces any other finding. */
--- a/src/main/java/org/gullway/requests/StatusQueries.java
+++ b/src/main/java/org/gullway/requests/StatusQueries.java
@@ -93,7 +93,7 @@
         JobStatus end = finals.of(id);
         if (end != null) {
             metrics.questions(true, 1);
-            answers.answerQuestion(call, JobFinding.ofFinalState(end));
+            answers.answerQuestions(List.of(call), JobFinding.ofFinalState(end));
         } else if (!ledger.fresh() || !open.containsKey(id) && overloaded()) {
             metrics.questions(false, 1);
             UserAnswers.refuse(call.call());
@@ -107,7 +107,7 @@
     void tellSubmitter(String id, UserCall call) {
         JobStatus end = finals.of(id);
         if (end != null) {
-            answers.answerQuestion(call, JobFinding.ofFinalState(end));
+            answers.answerQuestions(List.of(call), JobFinding.ofFinalState(end));
         } else if (!ledger.fresh() || submitters.size() >= MOST_SUBMITTERS) {
             UserAnswers.refuse(call.call());
         } else {
--- a/src/main/java/org/gullway/requests/StatusQuery.java
+++ b/src/main/java/org/gullway/requests/StatusQuery.java
@@ -61,7 +61,7 @@
     /** Tells all who wait what was found out. */
     void answer(JobFinding found) {
         if (end(true)) {
-            calls.forEach(call -> answers.answerQuestion(call, found));
+            answers.answerQuestions(calls, found);
         }
     }
 
