Soak: half of the users submit again without asking, and jobs come faster

Cause: controllers learned final states from questions before a late answer could do harm, so the fault was not met.

--- a/src/test/java/org/gullway/SoakRun.java
+++ b/src/test/java/org/gullway/SoakRun.java
@@ -23,14 +23,14 @@
 public final class SoakRun {
     private static final Duration START = Duration.ofSeconds(3);
     private static final Duration BETWEEN_FAULTS = Duration.ofMillis(900);
-    private static final Duration BETWEEN_JOBS = Duration.ofMillis(350);
+    private static final Duration BETWEEN_JOBS = Duration.ofMillis(220);
     private static final Duration LAST_QUESTIONS = Duration.ofSeconds(3);
     private static final Duration TICK = Duration.ofMillis(20);
     /** A longer pause of this process makes workers look late, which no controller can know. */
     private static final Duration LONGEST_STALL = Duration.ofMillis(250);
 
     private static final int MORE_SUBMISSIONS = 6;
-    private static final int MORE_SUBMISSIONS_WITHIN_MS = 60;
+    private static final int MORE_SUBMISSIONS_WITHIN_MS = 400;
     private static final Pattern JOB = Pattern.compile("run-\\d{6}");
 
     /** How long a run goes on under faults, and how long afterwards. */
@@ -125,9 +125,10 @@
         users = new Users(cluster.loop, cluster.userClient(), rules, random.split(), cluster.userAddresses());
         users.recordIn(history);
         users.whenNews(user -> {
-            users.lookClosely(user, random);
-            for (int i = 0; i < MORE_SUBMISSIONS; i++) {
-                cluster.loop.after(Duration.ofMillis(random.nextInt(MORE_SUBMISSIONS_WITHIN_MS)), user::submitAgain);
+            if (random.nextBoolean()) {
+                users.lookClosely(user, random);
+            } else {
+                submitAgainAndAgain(user);
             }
             if (!user.over() && random.nextInt(4) == 0) {
                 user.cancel();
@@ -148,6 +149,13 @@
         cluster.loop.after(calm.plus(length.afterwards()).plus(LAST_QUESTIONS), over::countDown);
     }
 
+    /** Without questions, by which controllers would learn a final state. */
+    private void submitAgainAndAgain(User user) {
+        for (int i = 0; i < MORE_SUBMISSIONS; i++) {
+            cluster.loop.after(Duration.ofMillis(random.nextInt(MORE_SUBMISSIONS_WITHIN_MS)), user::submitAgain);
+        }
+    }
+
     private void tick() {
         Instant now = cluster.loop.now();
         if (lastTick != null) {
