--- a/src/test/java/org/gullway/SoakTest.java
+++ b/src/test/java/org/gullway/SoakTest.java
@@ -16,6 +16,9 @@
         SoakRun.Outcome outcome = SoakRun.play(seed, SHORT);
         System.out.println(outcome);
         assertThat(outcome.brokenForSure()).as(outcome.report()).isEmpty();
+        assertThat(ProcessHandle.current().children().filter(ProcessHandle::isAlive))
+                .as("processes left behind")
+                .isEmpty();
         assertThat(outcome.starts()).as("tasks that began").isPositive();
     }
 }
