--- a/src/main/java/org/gullway/CommandSender.java
+++ b/src/main/java/org/gullway/CommandSender.java
@@ -104,23 +104,25 @@
         return true;
     }
 
-    private void log(CommandBatch push) {
-        for (Command command : push.commands()) {
-            LOG.debug(
-                    "{} of {}#{} to {} in session {} under epoch {} by revision {}",
-                    command.kind(),
-                    command.task(),
-                    command.attempt(),
-                    push.machine(),
-                    push.session(),
-                    push.token(),
-                    authorization.revision(command));
+    /** One line for all commands: a line costs more than what it says. */
+    private void log(CommandBatch batch) {
+        StringBuilder commands = new StringBuilder();
+        for (Command command : batch.commands()) {
+            commands.append(commands.isEmpty() ? "" : ", ")
+                    .append(command.kind())
+                    .append(' ')
+                    .append(command.task())
+                    .append('#')
+                    .append(command.attempt())
+                    .append(" by revision ")
+                    .append(authorization.revision(command));
         }
+        LOG.debug("to {} in session {} under epoch {}: {}", batch.machine(), batch.session(), batch.token(), commands);
     }
 
     private void command(CommandBatch wanted, Consumer<CommandOutcome> ended, Consumer<WorkerReport> answers) {
         CommandBatch push = authorized(wanted);
-        if (LOG.isDebugEnabled()) {
+        if (LOG.isDebugEnabled() && !push.commands().isEmpty()) {
             log(push);
         }
         metrics.pushed();
