Soak: half of each rank, team and of the largest tasks must begin; users are cut off too

Cause: a run ended too soon after the faults for a job without an answer for 75 s to show, and service was not checked.

--- a/src/test/java/org/gullway/FaultSchedule.java
+++ b/src/test/java/org/gullway/FaultSchedule.java
@@ -63,7 +63,7 @@
     }
 
     private void add(Duration at) {
-        switch (random.nextInt(16)) {
+        switch (random.nextInt(17)) {
             case 0, 1 -> kill(at, node(), random.nextBoolean() ? millis(30, 900) : millis(900, 4000));
             case 2 -> killLeader(at, millis(30, 3000));
             case 3 -> killAll(at, millis(30, 900));
@@ -76,7 +76,8 @@
             case 11 -> stateService(at, millis(200, 4000));
             case 12 -> refused(at, node(), millis(300, 4000));
             case 13 -> cut(at, node() + ">cloud", millis(300, 6000));
-            case 14 -> cutMachines(at, random.nextInt(1, 4), millis(300, 8000));
+            case 14 -> cut(at, "users>controllers", millis(100, 2000));
+            case 15 -> cutMachines(at, random.nextInt(1, 4), millis(300, 8000));
             default -> machines(at, random.nextInt(1, 4), millis(300, 6000));
         }
     }
--- a/src/test/java/org/gullway/RuleCheck.java
+++ b/src/test/java/org/gullway/RuleCheck.java
@@ -180,6 +180,10 @@
         jobs.get(id).cancelAsked = true;
     }
 
+    boolean isCancelAsked(String id) {
+        return jobs.get(id).cancelAsked;
+    }
+
     boolean over(String id) {
         return jobs.get(id).over();
     }
--- /dev/null
+++ b/src/test/java/org/gullway/ServiceCheck.java
@@ -0,0 +1,49 @@
+package org.gullway;
+
+import java.util.ArrayList;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import org.gullway.protocol.JobRequest;
+
+/** Whether at least half of each rank, of each team, and of the jobs with the largest tasks was served. */
+final class ServiceCheck {
+    private static final double LEAST_SERVED = 0.5;
+
+    private static final class Count {
+        private int jobs;
+        private int begun;
+    }
+
+    private ServiceCheck() {}
+
+    /** The groups of which less than half has begun, each with its figures. */
+    static List<String> unserved(List<User> users) {
+        double largest =
+                users.stream().mapToDouble(user -> user.request.cpus()).max().orElse(0);
+        Map<String, Count> groups = new LinkedHashMap<>();
+        for (User user : users) {
+            if (user.acceptedAfter() != null && !user.cancelAsked()) {
+                JobRequest job = user.request;
+                count(groups, "rank " + job.rank(), user);
+                count(groups, "team " + job.team(), user);
+                if (job.cpus() == largest) {
+                    count(groups, "largest tasks", user);
+                }
+            }
+        }
+        List<String> unserved = new ArrayList<>();
+        groups.forEach((name, count) -> {
+            if (count.begun < LEAST_SERVED * count.jobs) {
+                unserved.add("half_served: " + name + ": " + count.begun + " of " + count.jobs + " jobs began");
+            }
+        });
+        return unserved;
+    }
+
+    private static void count(Map<String, Count> groups, String name, User user) {
+        Count count = groups.computeIfAbsent(name, n -> new Count());
+        count.jobs++;
+        count.begun += user.waited() == null ? 0 : 1;
+    }
+}
--- /dev/null
+++ b/src/test/java/org/gullway/ServiceCheckTest.java
@@ -0,0 +1,36 @@
+package org.gullway;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import java.time.Duration;
+import java.util.List;
+import org.gullway.protocol.Rank;
+import org.junit.jupiter.api.Test;
+
+/** The check of service names just the groups that were not served. */
+class ServiceCheckTest {
+    private static List<String> unservedWithMachines(int capacity) {
+        SimulatedWorld world = new SimulatedWorld(5, 0, capacity);
+        world.submit(1, "red", Rank.HIGH, 1, 4, Duration.ofSeconds(2));
+        world.submit(2, "blue", Rank.NORMAL, 1, 8, Duration.ofSeconds(2));
+        world.submit(3, "blue", Rank.IDLE, 1, 2, Duration.ofSeconds(2)).cancel();
+        world.run(Duration.ofSeconds(60));
+        return ServiceCheck.unserved(world.users());
+    }
+
+    @Test
+    void withMachinesEverybodyIsServed() {
+        assertThat(unservedWithMachines(3)).isEmpty();
+    }
+
+    @Test
+    void withoutMachinesNobodyIsServedExceptWhatWasCancelled() {
+        assertThat(unservedWithMachines(0))
+                .containsExactlyInAnyOrder(
+                        "half_served: rank HIGH: 0 of 1 jobs began",
+                        "half_served: team red: 0 of 1 jobs began",
+                        "half_served: rank NORMAL: 0 of 1 jobs began",
+                        "half_served: team blue: 0 of 1 jobs began",
+                        "half_served: largest tasks: 0 of 1 jobs began");
+    }
+}
--- a/src/test/java/org/gullway/SoakRun.java
+++ b/src/test/java/org/gullway/SoakRun.java
@@ -29,6 +29,9 @@
     /** A longer pause of this process makes workers look late, which no controller can know. */
     private static final Duration LONGEST_STALL = Duration.ofMillis(250);
 
+    /** Longer than a job may go without an answer; until then half of all kinds of jobs must have begun. */
+    private static final Duration SERVICE_WITHIN = Duration.ofSeconds(80);
+
     private static final int MORE_SUBMISSIONS = 6;
     private static final int MORE_SUBMISSIONS_WITHIN_MS = 400;
     private static final Pattern JOB = Pattern.compile("run-\\d{6}");
@@ -214,6 +217,9 @@
     }
 
     private Outcome outcome() {
+        if (length.afterwards().compareTo(SERVICE_WITHIN) >= 0) {
+            rules.broken.addAll(ServiceCheck.unserved(users.all()));
+        }
         rules.broken.addAll(cluster.logLines(List.of("invariant violated")));
         return new Outcome(
                 seed,
@@ -265,7 +271,7 @@
         Logger.getLogger("io.undertow").setLevel(Level.WARNING);
         long first = Long.parseLong(arguments[0]);
         int runs = Integer.parseInt(arguments[1]);
-        Length length = new Length(Duration.ofSeconds(Long.parseLong(arguments[2])), Duration.ofSeconds(40));
+        Length length = new Length(Duration.ofSeconds(Long.parseLong(arguments[2])), SERVICE_WITHIN);
         int broken = 0;
         for (long seed = first; seed < first + runs; seed++) {
             Outcome outcome = play(seed, length);
--- a/src/test/java/org/gullway/User.java
+++ b/src/test/java/org/gullway/User.java
@@ -53,6 +53,10 @@
                 + JobHistory.text(asked).strip() + " -> " + answer;
     }
 
+    boolean cancelAsked() {
+        return rules.isCancelAsked(request.id());
+    }
+
     boolean over() {
         return rules.over(request.id());
     }
