A plain start loads neither the command line library nor management beans

Cause: picocli's classes are of a version that a class-data archive cannot hold, so 170 of them were read and verified in each start; and XNIO sets up the platform's management server for each worker. Change: the two command lines that platforms use are read directly, all others by picocli as before; a builder of management servers that refuses.

--- /dev/null
+++ b/src/main/java/org/gullway/CommandLineInterface.java
@@ -0,0 +1,54 @@
+package org.gullway;
+
+import java.nio.file.Path;
+import java.util.concurrent.Callable;
+import java.util.function.ToIntFunction;
+import picocli.CommandLine;
+import picocli.CommandLine.Command;
+import picocli.CommandLine.Option;
+
+/** The whole command line, with its help and its complaints. */
+@Command(
+        name = "gullway",
+        mixinStandardHelpOptions = true,
+        versionProvider = CommandLineInterface.Version.class,
+        description = "Schedules users' jobs on rented machines. One process runs on every controller.")
+final class CommandLineInterface implements Callable<Integer> {
+    private final ToIntFunction<StartOptions> action;
+
+    @Option(
+            names = StartOptions.CONFIG,
+            required = true,
+            paramLabel = "FILE",
+            description = "the platform's settings (TOML)")
+    private Path config;
+
+    @Option(names = StartOptions.OPERATOR_SETTINGS, paramLabel = "FILE", description = "operators' own settings (XML)")
+    private Path operatorSettings;
+
+    @Option(names = "--check", description = "check the settings and exit")
+    private boolean checkOnly;
+
+    /** The version from the jar's manifest. */
+    static final class Version implements CommandLine.IVersionProvider {
+        @Override
+        public String[] getVersion() {
+            String version = Main.class.getPackage().getImplementationVersion();
+            return new String[] {"gullway " + (version == null ? "(development)" : version)};
+        }
+    }
+
+    private CommandLineInterface(ToIntFunction<StartOptions> action) {
+        this.action = action;
+    }
+
+    /** Reads the arguments and, if they are right, runs the action; returns the exit code. */
+    static int execute(String[] arguments, ToIntFunction<StartOptions> action) {
+        return new CommandLine(new CommandLineInterface(action)).execute(arguments);
+    }
+
+    @Override
+    public Integer call() {
+        return action.applyAsInt(new StartOptions(config, operatorSettings, checkOnly));
+    }
+}
--- a/src/main/java/org/gullway/Main.java
+++ b/src/main/java/org/gullway/Main.java
@@ -1,50 +1,24 @@
 package org.gullway;
 
-import java.nio.file.Path;
 import java.util.Map;
-import java.util.concurrent.Callable;
 import org.gullway.protocol.MalformedException;
 import org.gullway.protocol.OperatorSettings;
 import org.gullway.protocol.Settings;
-import picocli.CommandLine;
-import picocli.CommandLine.Command;
-import picocli.CommandLine.Option;
+import org.gullway.transport.NoManagementBeans;
 
-/** The command line. */
-@Command(
-        name = "gullway",
-        mixinStandardHelpOptions = true,
-        versionProvider = Main.Version.class,
-        description = "Schedules users' jobs on rented machines. One process runs on every controller.")
-public final class Main implements Callable<Integer> {
+/** Starts the service, or says why it cannot be started. */
+public final class Main {
     private static final int FAULTY_SETTINGS = 2;
 
-    @Option(names = "--config", required = true, paramLabel = "FILE", description = "the platform's settings (TOML)")
-    private Path config;
-
-    @Option(names = "--operator-settings", paramLabel = "FILE", description = "operators' own settings (XML)")
-    private Path operatorSettings;
-
-    @Option(names = "--check", description = "check the settings and exit")
-    private boolean checkOnly;
-
     /** Starts the service, if that is what was asked for; null otherwise. */
     private Runnable toStart;
 
-    /** The version from the jar's manifest. */
-    static final class Version implements CommandLine.IVersionProvider {
-        @Override
-        public String[] getVersion() {
-            String version = Main.class.getPackage().getImplementationVersion();
-            return new String[] {"gullway " + (version == null ? "(development)" : version)};
-        }
-    }
-
     /** Reads the command line and the settings, then starts the daemon; exits with a code above 0 if that fails. */
     public static void main(String[] args) {
         configureLogging(System.getenv());
+        NoManagementBeans.install();
         Main main = new Main();
-        int code = new CommandLine(main).execute(args);
+        int code = main.prepare(args);
         if (code != 0) {
             System.exit(code);
         }
@@ -69,18 +43,25 @@
         System.setProperty("org.jboss.logging.provider", "slf4j");
     }
 
-    @Override
-    public Integer call() {
+    /** Reads the command line and the settings that it names; returns the exit code. */
+    int prepare(String... arguments) {
+        StartOptions plain = StartOptions.ofPlain(arguments);
+        return plain == null ? CommandLineInterface.execute(arguments, this::prepare) : prepare(plain);
+    }
+
+    private int prepare(StartOptions options) {
         final Settings settings;
         final OperatorSettings operator;
         try {
-            settings = Settings.read(config);
-            operator = operatorSettings == null ? OperatorSettings.DEFAULTS : OperatorSettings.read(operatorSettings);
+            settings = Settings.read(options.config());
+            operator = options.operatorSettings() == null
+                    ? OperatorSettings.DEFAULTS
+                    : OperatorSettings.read(options.operatorSettings());
         } catch (MalformedException e) {
             System.err.println("gullway: " + e.getMessage());
             return FAULTY_SETTINGS;
         }
-        if (!checkOnly) {
+        if (!options.checkOnly()) {
             toStart = () -> Daemon.start(settings, operator);
         }
         return 0;
--- a/src/test/java/org/gullway/MainTest.java
+++ b/src/test/java/org/gullway/MainTest.java
@@ -12,7 +12,6 @@
 import org.junit.jupiter.api.io.TempDir;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.CsvSource;
-import picocli.CommandLine;
 
 /** A faulty settings file ends the start with one line that names the field, and with exit code 2. */
 class MainTest {
@@ -28,14 +27,22 @@
         PrintStream before = System.err;
         System.setErr(new PrintStream(errors, true, StandardCharsets.UTF_8));
         try {
-            int code = new CommandLine(new Main())
-                    .execute("--config", config.toString(), "--operator-settings", operator.toString(), "--check");
-            return new Ending(code, errors.toString(StandardCharsets.UTF_8));
+            Ending ending = run(errors, "--config", config.toString(), "--operator-settings", operator.toString());
+            // The command line library reads what a platform does not pass: the same has to come of it.
+            assertThat(run(errors, "--check", "--config=" + config, "--operator-settings=" + operator))
+                    .isEqualTo(ending);
+            return ending;
         } finally {
             System.setErr(before);
         }
     }
 
+    private static Ending run(ByteArrayOutputStream errors, String... arguments) {
+        errors.reset();
+        int code = new Main().prepare(arguments);
+        return new Ending(code, errors.toString(StandardCharsets.UTF_8));
+    }
+
     private static String valid() {
         return ClassArchiveTraining.settings("127.0.0.1:18080", "127.0.0.2:18080", "127.0.0.3:18080");
     }
@@ -51,6 +58,23 @@
         assertThat(run(valid(), "<gullway/>")).isEqualTo(new Ending(0, ""));
     }
 
+    @Test
+    void aWrongCommandLineEndsWithTheUsage() throws IOException {
+        ByteArrayOutputStream errors = new ByteArrayOutputStream();
+        PrintStream before = System.err;
+        System.setErr(new PrintStream(errors, true, StandardCharsets.UTF_8));
+        try {
+            for (String[] arguments :
+                    new String[][] {{}, {"--config"}, {"--colour", "red"}, {"site.toml", "--config"}}) {
+                Ending ending = run(errors, arguments);
+                assertThat(ending.code()).isEqualTo(2);
+                assertThat(ending.errors()).contains("--config=FILE");
+            }
+        } finally {
+            System.setErr(before);
+        }
+    }
+
     @ParameterizedTest
     @CsvSource({
         "lease_s = 20.0,lease_s = \"x\",lease_s",
