--- a/src/main/java/org/gullway/coordination/AttemptId.java
+++ b/src/main/java/org/gullway/coordination/AttemptId.java
@@ -7,4 +7,14 @@
     public static AttemptId of(JobRecord job, Placement placement) {
         return new AttemptId(new TaskId(job.request().id(), placement.task()), placement.attempt());
     }
+
+    @Override
+    public boolean equals(Object other) {
+        return this == other || other instanceof AttemptId id && attempt == id.attempt && task.equals(id.task);
+    }
+
+    @Override
+    public int hashCode() {
+        return 31 * task.hashCode() + Long.hashCode(attempt);
+    }
 }
--- a/src/main/java/org/gullway/protocol/Cbor.java
+++ b/src/main/java/org/gullway/protocol/Cbor.java
@@ -1,18 +1,19 @@
 package org.gullway.protocol;
 
+import com.fasterxml.jackson.core.JsonGenerator;
 import com.fasterxml.jackson.core.JsonParser;
 import com.fasterxml.jackson.databind.JsonNode;
-import com.fasterxml.jackson.databind.ObjectMapper;
 import com.fasterxml.jackson.databind.node.JsonNodeFactory;
 import com.fasterxml.jackson.databind.node.ObjectNode;
 import com.fasterxml.jackson.dataformat.cbor.CBORFactory;
-import com.fasterxml.jackson.dataformat.cbor.databind.CBORMapper;
+import java.io.ByteArrayOutputStream;
 import java.io.IOException;
 import java.io.UncheckedIOException;
 
 /** Bodies on the wire: CBOR maps with text keys. */
 public final class Cbor {
-    private static final ObjectMapper MAPPER = new CBORMapper(new CBORFactory());
+    private static final CBORFactory FACTORY = new CBORFactory();
+    private static final int USUAL_BYTES = 512;
 
     private Cbor() {}
 
@@ -22,23 +23,25 @@
 
     /** The CBOR form of the node. */
     public static byte[] encode(JsonNode node) {
-        try {
-            return MAPPER.writeValueAsBytes(node);
+        ByteArrayOutputStream bytes = new ByteArrayOutputStream(USUAL_BYTES);
+        try (JsonGenerator generator = FACTORY.createGenerator(bytes)) {
+            JsonTrees.write(node, generator);
         } catch (IOException e) {
             throw new UncheckedIOException(e);
         }
+        return bytes.toByteArray();
     }
 
     /** Reads a body piece by piece. */
     static JsonParser parser(byte[] body) throws IOException {
-        return MAPPER.getFactory().createParser(body);
+        return FACTORY.createParser(body);
     }
 
     /** Reads a body that has to be exactly one map. */
     public static ObjectNode decode(byte[] body) throws MalformedException {
         JsonNode node;
-        try (var parser = MAPPER.getFactory().createParser(body)) {
-            node = MAPPER.readTree(parser);
+        try (JsonParser parser = parser(body)) {
+            node = JsonTrees.readNext(parser);
             if (parser.nextToken() != null) {
                 throw new MalformedException("bytes after the map");
             }
--- a/src/main/java/org/gullway/protocol/Settings.java
+++ b/src/main/java/org/gullway/protocol/Settings.java
@@ -1,8 +1,10 @@
 package org.gullway.protocol;
 
+import com.fasterxml.jackson.core.JsonParser;
 import com.fasterxml.jackson.databind.JsonNode;
-import com.fasterxml.jackson.dataformat.toml.TomlMapper;
+import com.fasterxml.jackson.dataformat.toml.TomlFactory;
 import java.io.IOException;
+import java.io.InputStream;
 import java.nio.file.Files;
 import java.nio.file.Path;
 import java.time.Duration;
@@ -63,8 +65,9 @@
      */
     public static Settings read(Path file) throws MalformedException {
         JsonNode tree;
-        try (var in = Files.newInputStream(file)) {
-            tree = new TomlMapper().readTree(in);
+        try (InputStream in = Files.newInputStream(file);
+                JsonParser parser = new TomlFactory().createParser(in)) {
+            tree = JsonTrees.readNext(parser);
         } catch (com.fasterxml.jackson.core.JacksonException e) {
             throw new MalformedException(
                     file + " is not TOML: " + MalformedException.inOneLine(e.getOriginalMessage()));
--- a/src/main/java/org/gullway/protocol/TaskId.java
+++ b/src/main/java/org/gullway/protocol/TaskId.java
@@ -38,6 +38,16 @@
         return number == index;
     }
 
+    @Override
+    public boolean equals(Object other) {
+        return this == other || other instanceof TaskId id && index == id.index && job.equals(id.job);
+    }
+
+    @Override
+    public int hashCode() {
+        return 31 * job.hashCode() + index;
+    }
+
     @Override
     public String toString() {
         return job + "/" + index;
--- /dev/null
+++ b/src/test/java/org/gullway/protocol/JsonTreesTest.java
@@ -0,0 +1,89 @@
+package org.gullway.protocol;
+
+import static org.assertj.core.api.Assertions.assertThat;
+import static org.assertj.core.api.Assertions.assertThatThrownBy;
+
+import com.fasterxml.jackson.databind.JsonNode;
+import com.fasterxml.jackson.databind.ObjectMapper;
+import com.fasterxml.jackson.databind.node.JsonNodeFactory;
+import com.fasterxml.jackson.databind.node.ObjectNode;
+import com.fasterxml.jackson.dataformat.cbor.CBORFactory;
+import com.fasterxml.jackson.dataformat.cbor.databind.CBORMapper;
+import java.io.IOException;
+import java.util.Arrays;
+import net.jqwik.api.Arbitraries;
+import net.jqwik.api.Arbitrary;
+import net.jqwik.api.ForAll;
+import net.jqwik.api.Property;
+import net.jqwik.api.Provide;
+import org.junit.jupiter.api.Test;
+
+/** Trees are read and written just as Jackson's own mapper does it. */
+class JsonTreesTest {
+    private static final ObjectMapper MAPPER = new CBORMapper(new CBORFactory());
+    private static final JsonNodeFactory NODES = JsonNodeFactory.instance;
+
+    @Provide
+    Arbitrary<JsonNode> trees() {
+        return trees(3);
+    }
+
+    private static Arbitrary<JsonNode> trees(int depth) {
+        Arbitrary<JsonNode> leaves = Arbitraries.oneOf(
+                Arbitraries.strings().ofMaxLength(300).map(NODES::textNode),
+                Arbitraries.integers().map(NODES::numberNode),
+                Arbitraries.longs().map(NODES::numberNode),
+                Arbitraries.bigIntegers().map(NODES::numberNode),
+                Arbitraries.doubles().map(NODES::numberNode),
+                Arbitraries.floats().map(NODES::numberNode),
+                Arbitraries.of(true, false).map(NODES::booleanNode),
+                Arbitraries.just(NODES.nullNode()));
+        if (depth == 0) {
+            return leaves;
+        }
+        Arbitrary<JsonNode> lists = trees(depth - 1).list().ofMaxSize(4).map(items -> NODES.arrayNode()
+                .addAll(items));
+        return Arbitraries.oneOf(leaves, lists, maps(depth - 1).map(map -> map));
+    }
+
+    private static Arbitrary<ObjectNode> maps(int depth) {
+        return Arbitraries.maps(Arbitraries.strings().ofMaxLength(20), trees(depth))
+                .ofMaxSize(5)
+                .map(fields -> {
+                    ObjectNode map = NODES.objectNode();
+                    fields.forEach(map::set);
+                    return map;
+                });
+    }
+
+    @Provide
+    Arbitrary<ObjectNode> maps() {
+        return maps(3);
+    }
+
+    @Property(tries = 300, seed = "11")
+    void bytesAreThoseOfTheMapper(@ForAll("trees") JsonNode tree) throws IOException {
+        assertThat(Cbor.encode(tree)).isEqualTo(MAPPER.writeValueAsBytes(tree));
+    }
+
+    @Property(tries = 300, seed = "12")
+    void treesAreThoseOfTheMapper(@ForAll("maps") ObjectNode tree) throws IOException, MalformedException {
+        byte[] bytes = MAPPER.writeValueAsBytes(tree);
+        assertThat(Cbor.decode(bytes)).isEqualTo(MAPPER.readTree(bytes));
+    }
+
+    /** Whatever part of a body arrives, both take it or both refuse it. */
+    @Property(tries = 200, seed = "13")
+    void whatIsCutOffIsRefused(@ForAll("maps") ObjectNode tree, @ForAll int cut) {
+        byte[] whole = Cbor.encode(tree);
+        byte[] part = Arrays.copyOf(whole, Math.floorMod(cut, whole.length));
+        assertThatThrownBy(() -> Cbor.decode(part)).isInstanceOf(MalformedException.class);
+    }
+
+    @Test
+    void depthHasALimit() {
+        byte[] lists = new byte[100_000];
+        Arrays.fill(lists, (byte) 0x81);
+        assertThatThrownBy(() -> Cbor.decode(lists)).isInstanceOf(MalformedException.class);
+    }
+}
