Meters are set up with the first line of figures

Cause: setting up Micrometer's registry took about 20 of 410 ms until a controller listens, and each count went through it. Change: counts are fields; the registry reads them, and is made when the first line is logged.

--- a/src/main/java/org/gullway/Metrics.java
+++ b/src/main/java/org/gullway/Metrics.java
@@ -1,11 +1,12 @@
 package org.gullway;
 
-import io.micrometer.core.instrument.Counter;
+import io.micrometer.core.instrument.FunctionCounter;
 import io.micrometer.core.instrument.MeterRegistry;
 import io.micrometer.core.instrument.simple.SimpleMeterRegistry;
 import java.time.Duration;
 import java.util.Set;
 import java.util.concurrent.TimeUnit;
+import java.util.function.ToDoubleFunction;
 import org.HdrHistogram.Histogram;
 import org.gullway.coordination.Keys;
 import org.gullway.requests.RequestMetrics;
@@ -17,17 +18,19 @@
     private static final Logger LOG = LoggerFactory.getLogger(Metrics.class);
     private static final long LONGEST_MS = 60_000;
 
-    private final MeterRegistry registry = new SimpleMeterRegistry();
-    private final Counter commits = registry.counter("commits");
-    private final Counter refusals = registry.counter("commits.refused");
-    private final Counter pushes = registry.counter("pushes");
-    private final Counter offers = registry.counter("offers");
-    private final Counter jobChanges = registry.counter("changes.jobs");
-    private final Counter groupChanges = registry.counter("changes.groups");
-    private final Counter otherChanges = registry.counter("changes.other");
-    private final Counter questionsAnswered = registry.counter("questions.answered");
-    private final Counter questionsRefused = registry.counter("questions.refused");
-    private final Counter violations = registry.counter("invariants.violated");
+    private long commits;
+    private long refusals;
+    private long pushes;
+    private long offers;
+    private long jobChanges;
+    private long groupChanges;
+    private long otherChanges;
+    private long questionsAnswered;
+    private long questionsRefused;
+    private long violations;
+    /** Set up with the first line of figures: while a controller starts, its processor time is short. */
+    private MeterRegistry registry;
+
     private final Histogram acceptance = new Histogram(LONGEST_MS, 2);
     private final Histogram commit = new Histogram(LONGEST_MS, 2);
     private final Histogram round = new Histogram(LONGEST_MS, 2);
@@ -42,11 +45,22 @@
     }
 
     void committed(boolean done, Set<String> keys, Duration time) {
-        (done ? commits : refusals).increment();
+        if (done) {
+            commits++;
+        } else {
+            refusals++;
+        }
         record(commit, time);
-        for (String key : keys) {
-            (key.startsWith(Keys.JOBS) ? jobChanges : key.startsWith(Keys.GROUPS) ? groupChanges : otherChanges)
-                    .increment();
+        keys.forEach(this::changed);
+    }
+
+    private void changed(String key) {
+        if (key.startsWith(Keys.JOBS)) {
+            jobChanges++;
+        } else if (key.startsWith(Keys.GROUPS)) {
+            groupChanges++;
+        } else {
+            otherChanges++;
         }
     }
 
@@ -55,21 +69,50 @@
     }
 
     void pushed() {
-        pushes.increment();
+        pushes++;
     }
 
     void offered() {
-        offers.increment();
+        offers++;
     }
 
     @Override
     public void questions(boolean answered, int count) {
-        (answered ? questionsAnswered : questionsRefused).increment(count);
+        if (answered) {
+            questionsAnswered += count;
+        } else {
+            questionsRefused += count;
+        }
     }
 
     /** An assertion of this program failed. */
     void invariantViolated() {
-        violations.increment();
+        violations++;
+    }
+
+    private MeterRegistry registry() {
+        if (registry == null) {
+            registry = new SimpleMeterRegistry();
+            register("commits", metrics -> metrics.commits);
+            register("commits.refused", metrics -> metrics.refusals);
+            register("pushes", metrics -> metrics.pushes);
+            register("offers", metrics -> metrics.offers);
+            register("changes.jobs", metrics -> metrics.jobChanges);
+            register("changes.groups", metrics -> metrics.groupChanges);
+            register("changes.other", metrics -> metrics.otherChanges);
+            register("questions.answered", metrics -> metrics.questionsAnswered);
+            register("questions.refused", metrics -> metrics.questionsRefused);
+            register("invariants.violated", metrics -> metrics.violations);
+        }
+        return registry;
+    }
+
+    private void register(String name, ToDoubleFunction<Metrics> count) {
+        FunctionCounter.builder(name, this, count).register(registry);
+    }
+
+    private long count(String name) {
+        return (long) registry().get(name).functionCounter().count();
     }
 
     void log(String situation) {
@@ -78,20 +121,20 @@
                 situation,
                 acceptance.getTotalCount(),
                 acceptance.getValueAtPercentile(99),
-                (long) commits.count(),
-                (long) refusals.count(),
-                (long) jobChanges.count(),
-                (long) groupChanges.count(),
-                (long) otherChanges.count(),
+                count("commits"),
+                count("commits.refused"),
+                count("changes.jobs"),
+                count("changes.groups"),
+                count("changes.other"),
                 commit.getValueAtPercentile(50),
                 commit.getValueAtPercentile(99),
                 round.getTotalCount(),
                 round.getMaxValue(),
-                (long) pushes.count(),
-                (long) offers.count(),
-                (long) questionsAnswered.count(),
-                (long) questionsRefused.count(),
-                (long) violations.count());
+                count("pushes"),
+                count("offers"),
+                count("questions.answered"),
+                count("questions.refused"),
+                count("invariants.violated"));
         acceptance.reset();
         commit.reset();
         round.reset();
