ControllerProfile: processor time by thread of real controllers on loopback

Need: ProfileRun has no sockets, no start and no compiler in it. Three processes as the deploy file starts them, stand-ins behind real sockets; LoopbackCluster takes its sizes as a record.

--- /dev/null
+++ b/src/test/java/org/gullway/ControllerProfile.java
@@ -0,0 +1,204 @@
+package org.gullway;
+
+import java.io.IOException;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.SplittableRandom;
+import java.util.TreeMap;
+import java.util.concurrent.CountDownLatch;
+import java.util.logging.Level;
+import java.util.logging.Logger;
+import java.util.stream.Stream;
+import org.gullway.protocol.JobRequest;
+import org.gullway.protocol.Rank;
+import org.gullway.protocol.Settings;
+
+/**
+ * Measures where real controllers spend processor time: three processes as the deploy file starts them, on loopback with
+ * stand-ins behind real sockets. For each phase (start of all, a calm spell, a burst, restart of all) it prints the
+ * processor time of every kind of thread, which tells compiler, collector and event loop apart.
+ *
+ * <p>Not part of the tests; docs/operations.md shows how to run it.
+ */
+public final class ControllerProfile {
+    private static final Map<String, Settings.Team> TEAMS = Map.of(
+            "red", new Settings.Team("red", 9000, 30_000, 0, 0), "blue", new Settings.Team("blue", 9000, 30_000, 0, 0));
+    private static final Duration REPORT_INTERVAL = Duration.ofSeconds(6);
+    private static final Duration WORKER_LEASE = Duration.ofSeconds(32);
+    private static final Duration CANCEL_LIMIT = Duration.ofSeconds(62);
+    private static final Duration MEMBERSHIP_LEASE = Duration.ofSeconds(6);
+    private static final Duration BETWEEN_JOBS = Duration.ofMillis(820);
+    private static final int BURST = 3;
+    private static final int KINDS_OF_MACHINES = 8;
+    private static final int NANOS_IN_A_TICK = 10_000_000;
+    /** Fields of a stat file after the name of the thread. */
+    private static final int USER_TICKS = 11;
+
+    private static final int SYSTEM_TICKS = 12;
+
+    private final LoopbackCluster cluster;
+    private final RuleCheck rules = new RuleCheck(CANCEL_LIMIT, TEAMS);
+    private final SplittableRandom random = new SplittableRandom(1);
+    private Users users;
+    private int jobs;
+    private int jobsAtATime = 1;
+    private Map<String, Long> before = Map.of();
+
+    private ControllerProfile(int machines, List<String> command) throws IOException {
+        LoopbackCluster.Setup setup = new LoopbackCluster.Setup(
+                REPORT_INTERVAL,
+                WORKER_LEASE,
+                CANCEL_LIMIT,
+                MEMBERSHIP_LEASE,
+                machines / KINDS_OF_MACHINES,
+                TEAMS,
+                machines,
+                command,
+                "info");
+        cluster = new LoopbackCluster(1, setup, System.out::println, (name, kind) -> {
+            rules.machine(name, kind);
+            return users;
+        });
+    }
+
+    /** Arguments: how many machines there are at most, then options of the controllers' virtual machines. */
+    public static void main(String[] arguments) throws Exception {
+        Logger.getLogger("io.undertow").setLevel(Level.WARNING);
+        int machines = Integer.parseInt(arguments[0]);
+        ControllerProfile profile =
+                new ControllerProfile(machines, command(List.of(arguments).subList(1, arguments.length)));
+        profile.play();
+        System.exit(0);
+    }
+
+    /** The command of the deploy file, with further options. */
+    private static List<String> command(List<String> options) throws IOException {
+        String deploy = Files.readString(Path.of("deploy", "service.toml"));
+        String run = deploy.lines()
+                .filter(line -> line.startsWith("run = "))
+                .findFirst()
+                .orElseThrow();
+        List<String> words = new ArrayList<>(List.of(
+                run.substring(run.indexOf('"') + 1, run.lastIndexOf('"')).split(" ")));
+        words.set(0, LoopbackCluster.Setup.java());
+        words.remove("--config");
+        words.addAll(1, options);
+        return words;
+    }
+
+    private void play() throws InterruptedException {
+        onLoop(() -> {
+            users = new Users(cluster.loop, cluster.userClient(), rules, random.split(), cluster.userAddresses());
+            cluster.start();
+        });
+        phase("start of all", Duration.ofSeconds(6));
+        onLoop(this::submitNext);
+        phase("the fleet comes up", Duration.ofSeconds(60));
+        phase("calm", Duration.ofSeconds(30));
+        jobsAtATime = BURST;
+        phase("burst, jobs " + BURST + " times as often", Duration.ofSeconds(30));
+        jobsAtATime = 1;
+        phase("after the burst", Duration.ofSeconds(20));
+        cluster.nodes().forEach(cluster::terminate);
+        Thread.sleep(3000);
+        before = Map.of();
+        cluster.nodes().forEach(cluster::startController);
+        phase("restart of all, first 5 s", Duration.ofSeconds(5));
+        phase("restart of all, next 25 s", Duration.ofSeconds(25));
+        phase("calm again", Duration.ofSeconds(30));
+        cluster.nodes().forEach(cluster::terminate);
+        Thread.sleep(3000);
+        System.out.println("rules broken: " + rules.broken);
+        cluster.close();
+    }
+
+    private void onLoop(Runnable task) throws InterruptedException {
+        CountDownLatch done = new CountDownLatch(1);
+        cluster.loop.execute(() -> {
+            task.run();
+            done.countDown();
+        });
+        done.await();
+    }
+
+    private void submitNext() {
+        for (int i = 0; i < jobsAtATime; i++) {
+            jobs++;
+            users.submit(request(jobs), Duration.ofSeconds(20 + jobs % 60));
+        }
+        cluster.loop.after(BETWEEN_JOBS, this::submitNext);
+    }
+
+    private static JobRequest request(int number) {
+        return new JobRequest(
+                String.format("run-%06d", number),
+                "render",
+                number % 2 == 0 ? "red" : "blue",
+                JobRequest.Shape.ARRAY,
+                number % 3 == 0 ? Rank.NORMAL : Rank.HIGH,
+                10 + number * 5 % 95,
+                4,
+                0,
+                4,
+                "img-" + number % 8,
+                0.5,
+                null,
+                null,
+                false,
+                false,
+                true,
+                Duration.ofSeconds(40),
+                Duration.ZERO,
+                Duration.ZERO,
+                null);
+    }
+
+    /** Lets time pass and prints what the controllers' threads used meanwhile. */
+    private void phase(String name, Duration length) throws InterruptedException {
+        int startedBefore = rules.starts();
+        Thread.sleep(length.toMillis());
+        Map<String, Long> now = processorTimes();
+        System.out.printf(
+                "%n%s, %d s: %d machines up, %d jobs so far, %d tasks started%n",
+                name, length.toSeconds(), cluster.cloud.workers().size(), jobs, rules.starts() - startedBefore);
+        Map<String, Long> byThread = new TreeMap<>();
+        now.forEach((key, ticks) ->
+                byThread.merge(key.substring(key.indexOf(' ') + 1), ticks - before.getOrDefault(key, 0L), Long::sum));
+        byThread.forEach((thread, ticks) -> {
+            if (ticks > 0) {
+                System.out.printf(
+                        "  %-20s %7d ms  %6.1f ms a second of one controller%n",
+                        thread,
+                        ticks * NANOS_IN_A_TICK / 1_000_000,
+                        ticks * NANOS_IN_A_TICK / 1e6 / length.toMillis() * 1000 / 3);
+            }
+        });
+        before = now;
+    }
+
+    /** Ticks of processor time by process and kind of thread. */
+    private Map<String, Long> processorTimes() {
+        Map<String, Long> ticks = new HashMap<>();
+        cluster.processIds().values().forEach(pid -> {
+            try (Stream<Path> threads = Files.list(Path.of("/proc", Long.toString(pid), "task"))) {
+                for (Path thread : threads.toList()) {
+                    String stat = Files.readString(thread.resolve("stat"));
+                    String name = stat.substring(stat.indexOf('(') + 1, stat.lastIndexOf(')'));
+                    String[] fields = stat.substring(stat.lastIndexOf(')') + 2).split(" ");
+                    ticks.merge(
+                            pid + " " + name,
+                            Long.parseLong(fields[USER_TICKS]) + Long.parseLong(fields[SYSTEM_TICKS]),
+                            Long::sum);
+                }
+            } catch (IOException e) {
+                System.out.println("cannot read the times of " + pid + ": " + e.getMessage());
+            }
+        });
+        return ticks;
+    }
+}
--- a/src/test/java/org/gullway/LoopbackCluster.java
+++ b/src/test/java/org/gullway/LoopbackCluster.java
@@ -29,6 +29,7 @@
 import org.gullway.fake.FakeWorker;
 import org.gullway.fake.FaultyLink;
 import org.gullway.protocol.MachineType;
+import org.gullway.protocol.Settings;
 import org.gullway.transport.Call;
 import org.gullway.transport.Client;
 import org.gullway.transport.HttpClient;
@@ -47,17 +48,59 @@
 final class LoopbackCluster implements AutoCloseable {
     static final Duration LEASE = Duration.ofSeconds(4);
     static final Duration CANCEL = Duration.ofSeconds(12);
-    private static final Duration REPORT = Duration.ofMillis(500);
-    private static final Duration MEMBERSHIP = Duration.ofSeconds(2);
     private static final Duration PEER_LIMIT = Duration.ofSeconds(4);
     private static final Duration PATIENCE = Duration.ofSeconds(10);
-    private static final int CAPACITY = 4;
     private static final String OPERATOR_SETTINGS = "operator.xml";
-    private static final int SPARE_SERVERS = 40;
     private static final int BODY_LIMIT = 64 * 1024;
     private static final int SOCKETS = 10_000;
-    private static final int HEAP_MB = 96;
 
+    /**
+     * What a cluster is made of.
+     *
+     * @param capacity machines of each type, zone and kind
+     * @param spareServers servers for machines that are started beforehand, since to start one takes a while
+     * @param command starts a controller, up to its options
+     */
+    record Setup(
+            Duration report,
+            Duration lease,
+            Duration cancel,
+            Duration membership,
+            int capacity,
+            Map<String, Settings.Team> teams,
+            int spareServers,
+            List<String> command,
+            String logLevel) {
+
+        /** A few machines, short leases, and controllers from the classes of this process that log everything. */
+        static Setup small() {
+            return new Setup(
+                    Duration.ofMillis(500),
+                    LEASE,
+                    CANCEL,
+                    Duration.ofSeconds(2),
+                    4,
+                    SimulatedWorld.Shape.SMALL_TEAMS,
+                    40,
+                    List.of(
+                            java(),
+                            "-Xmx96m",
+                            "-Xss512k",
+                            "-XX:+UseSerialGC",
+                            "-XX:TieredStopAtLevel=1",
+                            "-cp",
+                            System.getProperty("java.class.path"),
+                            "org.gullway.Main"),
+                    "debug");
+        }
+
+        /** The java program that runs this process. */
+        static String java() {
+            return Path.of(System.getProperty("java.home"), "bin", "java").toString();
+        }
+    }
+
+    private final Setup setup;
     final StoppableEventLoop loop;
     private final HttpClient client;
     final FakeStateStore store;
@@ -86,7 +129,8 @@
      * @param machines is told of every machine that is up
      * @param ended is told of controllers that end by themselves
      */
-    LoopbackCluster(long seed, Consumer<String> ended, MachineListener machines) throws IOException {
+    LoopbackCluster(long seed, Setup setup, Consumer<String> ended, MachineListener machines) throws IOException {
+        this.setup = setup;
         this.random = new SplittableRandom(seed);
         this.ended = ended;
         this.directory = Files.createTempDirectory("gullway-soak");
@@ -101,7 +145,7 @@
             meshAddresses.put("perch-" + i, LoopbackAddresses.free());
         }
         Runtime.getRuntime().addShutdownHook(atShutdown);
-        this.cloud = new FakeCloud(loop, types(), CAPACITY, (name, kind) -> boot(name, kind, machines));
+        this.cloud = new FakeCloud(loop, types(), setup.capacity(), (name, kind) -> boot(name, kind, machines));
     }
 
     /** Is told of every machine that is up, and says what its worker knows of the world. */
@@ -126,8 +170,8 @@
                 address,
                 kind,
                 publicAddresses,
-                REPORT,
-                LEASE);
+                setup.report(),
+                setup.lease());
         handlers.put(address, link("controllers>" + name).server("", machine::handle));
         return machine;
     }
@@ -155,12 +199,12 @@
 
     /** Starts everything. */
     void start() {
-        for (int i = 0; i < SPARE_SERVERS; i++) {
+        for (int i = 0; i < setup.spareServers(); i++) {
             spareServers.add(listenLater());
         }
         write(
                 OPERATOR_SETTINGS,
-                "<gullway><membership-lease-s>" + MEMBERSHIP.toSeconds() + "</membership-lease-s></gullway>");
+                "<gullway><membership-lease-s>" + setup.membership().toSeconds() + "</membership-lease-s></gullway>");
         for (String name : nodes()) {
             String state = LoopbackAddresses.free();
             String cloudAddress = LoopbackAddresses.free();
@@ -195,7 +239,7 @@
 
     private String settings(String name, String state, String cloudAddress, List<String> seeds) {
         StringBuilder teams = new StringBuilder();
-        SimulatedWorld.Shape.SMALL_TEAMS
+        setup.teams()
                 .values()
                 .forEach(team -> teams.append(
                         """
@@ -245,9 +289,9 @@
                         cloudAddress,
                         state,
                         teams,
-                        seconds(REPORT),
-                        seconds(LEASE),
-                        seconds(CANCEL),
+                        seconds(setup.report()),
+                        seconds(setup.lease()),
+                        seconds(setup.cancel()),
                         (double) FakeStateStore.CHANGES_PER_SECOND,
                         FakeStateStore.CHANGES_PER_COMMIT);
     }
@@ -285,20 +329,14 @@
     }
 
     private Process startProcess(String name) {
-        ProcessBuilder builder = new ProcessBuilder(
-                Path.of(System.getProperty("java.home"), "bin", "java").toString(),
-                "-Xmx" + HEAP_MB + "m",
-                "-Xss512k",
-                "-XX:+UseSerialGC",
-                "-XX:TieredStopAtLevel=1",
-                "-cp",
-                System.getProperty("java.class.path"),
-                "org.gullway.Main",
+        List<String> command = new ArrayList<>(setup.command());
+        command.addAll(List.of(
                 "--config",
                 directory.resolve(name + ".toml").toString(),
                 "--operator-settings",
-                directory.resolve(OPERATOR_SETTINGS).toString());
-        builder.environment().put("LOG_LEVEL", "debug");
+                directory.resolve(OPERATOR_SETTINGS).toString()));
+        ProcessBuilder builder = new ProcessBuilder(command);
+        builder.environment().put("LOG_LEVEL", setup.logLevel());
         builder.redirectErrorStream(true);
         builder.redirectOutput(ProcessBuilder.Redirect.appendTo(log(name).toFile()));
         try {
@@ -326,6 +364,23 @@
         });
     }
 
+    /** Asks the process to end, which lets it write what it has recorded. */
+    void terminate(String name) {
+        starter.execute(() -> {
+            Process process = processes.remove(name);
+            if (process != null) {
+                process.destroy();
+            }
+        });
+    }
+
+    /** Ids of the controllers' processes that run now, by controller. */
+    Map<String, Long> processIds() {
+        Map<String, Long> ids = new TreeMap<>();
+        processes.forEach((name, process) -> ids.put(name, process.pid()));
+        return ids;
+    }
+
     /** Stops the process where it is, or lets it go on. */
     void pause(String name, boolean on) {
         starter.execute(() -> {
--- a/src/test/java/org/gullway/SoakRun.java
+++ b/src/test/java/org/gullway/SoakRun.java
@@ -108,8 +108,8 @@
 
     private Outcome play() throws IOException, InterruptedException {
         CountDownLatch over = new CountDownLatch(1);
-        try (LoopbackCluster played =
-                new LoopbackCluster(seed, end -> rules.broken.add("process: " + end), (name, kind) -> {
+        try (LoopbackCluster played = new LoopbackCluster(
+                seed, LoopbackCluster.Setup.small(), end -> rules.broken.add("process: " + end), (name, kind) -> {
                     rules.machine(name, kind);
                     return users;
                 })) {
