--- a/src/main/java/org/gullway/Controller.java
+++ b/src/main/java/org/gullway/Controller.java
@@ -227,7 +227,7 @@
                 .step("queue", draft -> queue.propose(draft, () -> machines.ready(loop.now()), loop.now())
                         .forEach(this::send))
                 .step("ends", draft -> ended.propose(draft, ledger.plenty(), loop.now()))
-                .leaderStep("fleet", draft -> fleet.propose(draft, loop.now(), draft.timeOfDay()));
+                .leaderStep("fleet", draft -> fleet.propose(draft, loop.now()));
     }
 
     /**
