Commands on their way are bounded by how late their answers come

Change: a window with additive increase and multiplicative decrease instead of a constant, and workers with a command on its way are looked at when it ends, not every 50 ms.

--- a/src/main/java/org/gullway/coordination/MachineControl.java
+++ b/src/main/java/org/gullway/coordination/MachineControl.java
@@ -35,10 +35,9 @@
     private static final Duration TIDY_EVERY = Duration.ofSeconds(2);
 
     private static final Duration NOTICE_MARGIN = Duration.ofSeconds(1);
+    private static final Duration LOOK_AGAIN = Duration.ofMillis(50);
     /** Every worker reports once more when the epoch has risen, so starts without an answer are settled together. */
     private static final Duration RAISE_PAUSE = Duration.ofSeconds(1);
-    /** Commands on their way at a time; the rest has its turn when answers come in. */
-    private static final int MOST_PUSHES = 128;
     /** Commands on their way beyond which workers are no longer asked for what they will report anyway. */
     private static final int MOST_QUESTIONS = 8;
 
@@ -61,7 +60,7 @@
 
     private final FailingJobs failingJobs;
 
-    private int pushing;
+    private final CommandWindow window = new CommandWindow();
     /** Workers looked at so far. */
     private long looks;
 
@@ -181,7 +180,7 @@
 
     /** Takes the outcome of a command that {@link #pushes} asked to send; every one of them must have exactly one. */
     public void pushEnded(CommandBatch push, CommandOutcome outcome, Instant now) {
-        pushing--;
+        window.ended(push.sent(), outcome == CommandOutcome.ANSWERED, now);
         Worker worker = workers.get(push.machine());
         if (worker != null) {
             if (outcome == CommandOutcome.UNKNOWN && push.starts()) {
@@ -251,8 +250,12 @@
                 worker.look(now.plus(reportInterval));
                 continue;
             }
-            if (!worker.mayCommand(now) || pushing >= MOST_PUSHES) {
-                worker.look(now.plusMillis(50));
+            if (worker.commanding()) {
+                // The outcome of its command brings it back here.
+                continue;
+            }
+            if (!worker.mayCommand(now) || window.isFull()) {
+                worker.look(now.plus(LOOK_AGAIN));
                 continue;
             }
             boolean known = commands(record, worker);
@@ -261,14 +264,14 @@
             // Without commands it asks the worker to confirm the epoch and to say what is there.
             boolean unknown = worker.newest() == null || worker.newest().session() < record.session();
             boolean introduce = unknown || known && !fenced && worker.newest().token() < view.epoch();
-            if (introduce && (pushing >= MOST_QUESTIONS || !worker.mayAsk(now))) {
+            if (introduce && (window.onTheirWay() >= MOST_QUESTIONS || !worker.mayAsk(now))) {
                 // Its own report will most likely say the same: after a takeover hundreds come at once.
                 introduce = false;
                 worker.look(now.plus(RETRY));
             }
             if (!commands.isEmpty() || introduce || worker.deafSince() != null) {
                 worker.commandSent();
-                pushing++;
+                window.sent();
                 pushes.add(new CommandBatch(
                         record.name(), record.address(), view.epoch(), record.session(), commands, now));
             }
