Queue and booking go through machines once for each kind of request

Change: requests that take no less than one without room are passed over (property test), machines hash by name, free room is looked up once, the other shares of a share are kept.

--- a/src/main/java/org/gullway/coordination/BestEffortQueue.java
+++ b/src/main/java/org/gullway/coordination/BestEffortQueue.java
@@ -51,12 +51,14 @@
         private final Transaction draft;
         private final Collection<MachineRecord> room;
         private final List<MachineRecord> planned = new ArrayList<>();
+        private final UnfittedRequests unfitted;
         private int left;
 
-        Pull(JobRecord job, Transaction draft, Collection<MachineRecord> room, int most) {
+        Pull(JobRecord job, Transaction draft, Collection<MachineRecord> room, UnfittedRequests unfitted, int most) {
             this.job = job;
             this.draft = draft;
             this.room = room;
+            this.unfitted = unfitted;
             this.left = Math.min(most, Math.min(job.waiting(), draft.canPlace(job)));
         }
 
@@ -71,10 +73,11 @@
                 // The machine chosen last is the fullest until it has no more room.
                 taken = placing.take(job, 1, List.of(last), draft, view);
             }
-            if (taken.isEmpty()) {
+            if (taken.isEmpty() && !unfitted.coverAll(job.request())) {
                 taken = placing.take(job, planned, 1, room, draft, view);
             }
             if (taken.isEmpty()) {
+                unfitted.add(job.request());
                 return false;
             }
             if (planned.isEmpty()) {
@@ -261,11 +264,12 @@
         }
         waiting.keySet().stream().filter(team -> !turns.contains(team)).forEach(team -> turns.add(0, team));
         Map<String, Pull> pulls = new LinkedHashMap<>();
+        UnfittedRequests unfitted = new UnfittedRequests();
         boolean any = true;
         while (any) {
             any = false;
             for (String team : List.copyOf(turns)) {
-                if (turn(draft, room, waiting.get(team), pulls, mostEach, allowed)) {
+                if (turn(draft, room, waiting.get(team), pulls, unfitted, mostEach, allowed)) {
                     any = true;
                     turns.remove(team);
                     turns.add(team);
@@ -280,11 +284,12 @@
             Collection<MachineRecord> room,
             Deque<JobRecord> jobs,
             Map<String, Pull> pulls,
+            UnfittedRequests unfitted,
             int mostEach,
             Allowed allowed) {
         while (jobs != null && !jobs.isEmpty()) {
             JobRecord job = jobs.peek();
-            Pull pull = pulls.computeIfAbsent(job.request().id(), id -> new Pull(job, draft, room, mostEach));
+            Pull pull = pulls.computeIfAbsent(job.request().id(), id -> new Pull(job, draft, room, unfitted, mostEach));
             if (allowed.fits(job) && pull.pull()) {
                 allowed.take(job);
                 return true;
--- a/src/main/java/org/gullway/coordination/MachineRecord.java
+++ b/src/main/java/org/gullway/coordination/MachineRecord.java
@@ -39,6 +39,12 @@
         return new MachineRecord(name, null, type, zone, spot, controller, 0, epoch, Disposition.STAYS, rented);
     }
 
+    /** Names are unique, and machines with room are kept in maps in each round. */
+    @Override
+    public int hashCode() {
+        return name.hashCode();
+    }
+
     public boolean up() {
         return session > 0;
     }
--- a/src/main/java/org/gullway/coordination/QuotaAllotments.java
+++ b/src/main/java/org/gullway/coordination/QuotaAllotments.java
@@ -38,6 +38,9 @@
     private final PlacementConstraints placing;
     private final String own;
     private final Set<String> possible = new TreeSet<>();
+    /** For each share that exists or may come into being, all others. */
+    private final Map<String, List<String>> othersByShare = new TreeMap<>();
+
     private Instant loweredAt = Instant.MIN;
     /** By share, team and dimension: what is known of a part that lies unused while others are short. */
     private final Map<String, Unused> unused = new HashMap<>();
@@ -56,6 +59,7 @@
 
     /** Adjusts the shares held here: this node's, and the leader's while leading. */
     public void propose(Transaction draft, boolean leading, boolean plenty, Instant now) {
+        findShares();
         Map<String, Map<String, double[]>> needs = needs(draft.timeOfDay());
         List<String> held = leading ? List.of(Keys.LEADERS_SHARE, own) : List.of(own);
         boolean mayLower =
@@ -77,11 +81,21 @@
     }
 
     /** Also shares that were never written are guarded: their holders may be about to write them. */
-    private List<String> others(String share) {
+    private void findShares() {
         Set<String> keys = new TreeSet<>(possible);
         keys.addAll(view.shares().keySet());
-        keys.remove(share);
-        return List.copyOf(keys);
+        if (!keys.equals(othersByShare.keySet())) {
+            othersByShare.clear();
+            for (String share : keys) {
+                List<String> others = new ArrayList<>(keys);
+                others.remove(share);
+                othersByShare.put(share, others);
+            }
+        }
+    }
+
+    private List<String> others(String share) {
+        return othersByShare.get(share);
     }
 
     /**
--- a/src/main/java/org/gullway/coordination/ReservedBooking.java
+++ b/src/main/java/org/gullway/coordination/ReservedBooking.java
@@ -174,9 +174,7 @@
         if (unfitted.isEmpty()) {
             return chosen;
         }
-        List<MachineRecord> candidates = new ArrayList<>(machines);
-        candidates.sort(Comparator.comparingDouble((MachineRecord m) -> -placing.freeCpus(m, draft))
-                .thenComparing(MachineRecord::name));
+        List<MachineRecord> candidates = mostFreeFirst(draft, machines);
         for (JobRecord job : unfitted) {
             JobRequest request = job.request();
             int tasks = job.waiting();
@@ -198,6 +196,20 @@
         return chosen;
     }
 
+    private record FreeRoom(MachineRecord machine, double cpus) {
+        private static final Comparator<FreeRoom> MOST_FIRST =
+                Comparator.comparingDouble(FreeRoom::cpus).reversed().thenComparing(room -> room.machine.name());
+    }
+
+    private List<MachineRecord> mostFreeFirst(Transaction draft, List<MachineRecord> machines) {
+        List<FreeRoom> rooms = new ArrayList<>(machines.size());
+        for (MachineRecord machine : machines) {
+            rooms.add(new FreeRoom(machine, placing.freeCpus(machine, draft)));
+        }
+        rooms.sort(FreeRoom.MOST_FIRST);
+        return rooms.stream().map(FreeRoom::machine).toList();
+    }
+
     /**
      * Machines that are kept from best-effort starts until the largest task of a best-effort job of which none has run
      * for long fits there; its owner alone may use them. Small tasks would fill every gap before it for ever.
--- /dev/null
+++ b/src/test/java/org/gullway/coordination/UnfittedRequestsTest.java
@@ -0,0 +1,101 @@
+package org.gullway.coordination;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import java.time.Duration;
+import java.util.List;
+import net.jqwik.api.Arbitraries;
+import net.jqwik.api.Arbitrary;
+import net.jqwik.api.Combinators;
+import net.jqwik.api.ForAll;
+import net.jqwik.api.Property;
+import net.jqwik.api.Provide;
+import org.gullway.protocol.JobRequest;
+import org.gullway.protocol.Rank;
+
+class UnfittedRequestsTest {
+    /** A machine as far as requests are concerned. */
+    private record Machine(double cpus, double memoryGb, String type, String zone, boolean spot) {
+        boolean takes(JobRequest request) {
+            return cpus >= request.cpus()
+                    && memoryGb >= request.memoryGb()
+                    && (!spot || request.spot())
+                    && (request.zone() == null || request.zone().equals(zone))
+                    && (request.types() == null || request.types().contains(type));
+        }
+    }
+
+    @Provide
+    Arbitrary<JobRequest> requests() {
+        return Combinators.combine(
+                        Arbitraries.of(1.0, 2.0, 4.0),
+                        Arbitraries.of(1.0, 2.0, 4.0),
+                        Arbitraries.of("a", "b").injectNull(0.5),
+                        Arbitraries.of(List.of("small"), List.of("large"), List.of("small", "large"))
+                                .injectNull(0.4),
+                        Arbitraries.of(true, false),
+                        Arbitraries.of(true, false, false))
+                .as(UnfittedRequestsTest::request);
+    }
+
+    private static JobRequest request(
+            double cpus, double memoryGb, String zone, List<String> types, boolean spot, boolean oneZone) {
+        return new JobRequest(
+                "run-000001",
+                "render",
+                "red",
+                JobRequest.Shape.ARRAY,
+                Rank.NORMAL,
+                3,
+                cpus,
+                0,
+                memoryGb,
+                "img-1",
+                0.5,
+                types,
+                zone,
+                oneZone,
+                false,
+                spot,
+                Duration.ofSeconds(1),
+                Duration.ZERO,
+                Duration.ZERO,
+                null);
+    }
+
+    @Provide
+    Arbitrary<List<Machine>> machines() {
+        return Combinators.combine(
+                        Arbitraries.of(0.0, 1.0, 2.0, 4.0),
+                        Arbitraries.of(0.0, 1.0, 2.0, 4.0),
+                        Arbitraries.of("small", "large"),
+                        Arbitraries.of("a", "b"),
+                        Arbitraries.of(true, false))
+                .as(Machine::new)
+                .list()
+                .ofMaxSize(4);
+    }
+
+    /** What is said to find no room finds none on any machine. */
+    @Property(tries = 1000, seed = "21")
+    void onlyWhatFindsNoRoomIsCovered(
+            @ForAll("machines") List<Machine> machines,
+            @ForAll List<@net.jqwik.api.From("requests") JobRequest> tried,
+            @ForAll("requests") JobRequest request) {
+        UnfittedRequests unfitted = new UnfittedRequests();
+        tried.stream()
+                .filter(other -> machines.stream().noneMatch(machine -> machine.takes(other)))
+                .forEach(unfitted::add);
+        if (unfitted.coverAll(request)) {
+            assertThat(machines).noneMatch(machine -> machine.takes(request));
+        }
+    }
+
+    /** The same request again, as in a burst, is always covered. */
+    @Property(tries = 200, seed = "22")
+    void theSamePlainRequestIsCovered(@ForAll("requests") JobRequest request) {
+        UnfittedRequests unfitted = new UnfittedRequests();
+        unfitted.add(request);
+        assertThat(unfitted.coverAll(request)).isEqualTo(!request.oneZone());
+    }
+}
