The budget of a round counts from its beginning

Cause: after a restart of all, finding and sending commands took up to 250 ms before the steps of a round, whose 150 ms began only then, and health checks waited meanwhile. Change: the budget counts from the round's beginning; at least one step runs.

--- a/src/main/java/org/gullway/DecisionRound.java
+++ b/src/main/java/org/gullway/DecisionRound.java
@@ -84,7 +84,7 @@
             made.rely(Keys.LEADER);
         }
         ended.credit(made);
-        steps.run(loop::now);
+        steps.run(began, loop::now);
         ended.join(made);
         if (!made.isEmpty()) {
             commit(made, began);
--- a/src/main/java/org/gullway/coordination/DecisionSteps.java
+++ b/src/main/java/org/gullway/coordination/DecisionSteps.java
@@ -30,9 +30,13 @@
         return this;
     }
 
-    /** Runs the steps in turn, at least one; one that fails must not keep the others from their work. */
-    public void run(InstantSource clock) {
-        Instant end = clock.instant().plus(budget);
+    /**
+     * Runs the steps in turn, at least one; one that fails must not keep the others from their work.
+     *
+     * @param began when the round began: what came before the steps uses up the budget too
+     */
+    public void run(Instant began, InstantSource clock) {
+        Instant end = began.plus(budget);
         for (int done = 0; done < steps.size(); done++) {
             Step step = steps.get((next + done) % steps.size());
             try {
--- a/src/test/java/org/gullway/coordination/DecisionStepsTest.java
+++ b/src/test/java/org/gullway/coordination/DecisionStepsTest.java
@@ -22,7 +22,7 @@
 
     private List<String> round() {
         ran.clear();
-        steps.run(() -> now);
+        steps.run(now, () -> now);
         return List.copyOf(ran);
     }
 
@@ -36,6 +36,16 @@
         assertThat(round()).containsExactly("b", "c");
     }
 
+    @Test
+    void whatCameBeforeTheStepsUsesUpTheBudgetButOneStepRuns() {
+        add("a", 10);
+        add("b", 10);
+        Instant began = now;
+        now = now.plusMillis(150);
+        steps.run(began, () -> now);
+        assertThat(ran).containsExactly("a");
+    }
+
     @Test
     void aRoundWithinItsBudgetRunsAllStepsFromTheFirst() {
         add("a", 10);
