--- a/src/main/java/org/gullway/CloudProvisioner.java
+++ b/src/main/java/org/gullway/CloudProvisioner.java
@@ -35,6 +35,9 @@
     private static final Duration LIMIT = Duration.ofSeconds(5);
     private static final Duration TYPES_EVERY = Duration.ofSeconds(30);
     private static final Duration LIST_EVERY = Duration.ofSeconds(4);
+    /** Planning goes through the whole fleet: while processor time is short, it must not take more than a small part. */
+    private static final int PAUSE_PER_PLANNING_TIME = 20;
+
     private static final Duration REMOVE_EVERY = Duration.ofMillis(500);
     private static final Duration GONE_REMEMBERED = Duration.ofMinutes(2);
 
@@ -58,6 +61,8 @@
     private boolean listedOnce;
     /** Rentals without an answer yet; each is repeated under its name until it has one. */
     private final Deque<Pending> rentals = new ArrayDeque<>();
+
+    private Instant planNotBefore = Instant.MIN;
     /** Machines rented or found that are not on record yet. */
     private final Map<String, Arrival> arrivals = new LinkedHashMap<>();
 
@@ -116,8 +121,11 @@
             list("", new ArrayList<>());
         }
         giveBack();
-        if (rentals.isEmpty() && arrivals.isEmpty() && listedOnce) {
-            for (FleetAutoscaler.Rental rental : fleet.rentals(now)) {
+        if (rentals.isEmpty() && arrivals.isEmpty() && listedOnce && !now.isBefore(planNotBefore)) {
+            List<FleetAutoscaler.Rental> planned = fleet.rentals(now);
+            Duration took = Duration.between(now, loop.now());
+            planNotBefore = now.plus(took.multipliedBy(PAUSE_PER_PLANNING_TIME));
+            for (FleetAutoscaler.Rental rental : planned) {
                 if (!spend()) {
                     break;
                 }
--- a/src/main/java/org/gullway/coordination/ReservedBooking.java
+++ b/src/main/java/org/gullway/coordination/ReservedBooking.java
@@ -68,6 +68,18 @@
                 }
             }
         }
+        List<JobRecord> unfitted = bookAll(draft, waiting, withRoom);
+        if (!unfitted.isEmpty()
+                && machines.size() > MOST_LOOKED_AT
+                && roomMadeAt.plus(ROOM_PAUSE).isAfter(now)) {
+            return;
+        }
+        roomMadeAt = now;
+        clearMachines(draft, unfitted, machines);
+    }
+
+    /** Books what fits, and returns the jobs of which tasks found no room. */
+    private List<JobRecord> bookAll(Transaction draft, List<JobRecord> waiting, List<MachineRecord> withRoom) {
         List<JobRecord> unfitted = new ArrayList<>();
         UnfittedRequests withoutRoom = new UnfittedRequests();
         for (JobRecord job : waiting) {
@@ -85,12 +97,11 @@
                 }
             }
         }
-        if (!unfitted.isEmpty()
-                && machines.size() > MOST_LOOKED_AT
-                && roomMadeAt.plus(ROOM_PAUSE).isAfter(now)) {
-            return;
-        }
-        roomMadeAt = now;
+        return unfitted;
+    }
+
+    /** Has best-effort tasks stopped for jobs without room, and closes machines for those that are still stuck then. */
+    private void clearMachines(Transaction draft, List<JobRecord> unfitted, List<MachineRecord> machines) {
         List<MachineRecord> looked = nextMachines(machines);
         Preemption rooms = new Preemption(view, placing, urgency, draft, looked);
         List<JobRecord> stuck = new ArrayList<>();
@@ -99,6 +110,9 @@
                 stuck.add(job);
             }
         }
+        if (!unfitted.isEmpty() && !mayChangeClosed(draft)) {
+            return;
+        }
         Set<String> closed = new LinkedHashSet<>(rooms.meant());
         view.closed().stream().filter(this::isClearing).forEach(closed::add);
         closed.addAll(machinesToClose(draft, stuck, machines));
@@ -232,15 +246,18 @@
         return chosen;
     }
 
+    /** Whether other machines may be closed now; all of a large fleet are gone through only then. */
+    private boolean mayChangeClosed(Transaction draft) {
+        return view.closed().isEmpty()
+                || view.machines().size() <= MOST_LOOKED_AT
+                || !closedAt.plus(CLOSE_PAUSE).isAfter(draft.timeOfDay());
+    }
+
     private void close(Transaction draft, Set<String> forReserved) {
         Set<String> wanted = new LinkedHashSet<>(forReserved);
         wanted.addAll(gathering(draft));
         boolean other = !wanted.equals(view.closed());
-        boolean opens = wanted.isEmpty() || view.closed().isEmpty();
-        boolean small = view.machines().size() <= MOST_LOOKED_AT;
-        if (other
-                && draft.hasRoomFor(1)
-                && (opens || small || !closedAt.plus(CLOSE_PAUSE).isAfter(draft.timeOfDay()))) {
+        if (other && draft.hasRoomFor(1) && (wanted.isEmpty() || mayChangeClosed(draft))) {
             closedAt = draft.timeOfDay();
             draft.put(Keys.CLOSED, new ClosedMachines(wanted));
         }
