A plan of the fleet is bounded by machines, not by 20,000 tasks

Cause: 20,000 tasks of one processor are 1,250 machines of 16, and the users run about 4,000. Change: a slot takes as many tasks as fit at once, so a plan costs time by machines and not by tasks, and is bounded by 10,000 new machines; the next plan goes on. Property test: the same machines as task by task; test of 96,000 tasks on 6,000 machines.

--- a/src/main/java/org/gullway/coordination/FleetAutoscaler.java
+++ b/src/main/java/org/gullway/coordination/FleetAutoscaler.java
@@ -20,7 +20,6 @@
  * been idle for long, beyond the room kept for urgent work, are returned.
  */
 public final class FleetAutoscaler {
-    private static final int MOST_TASKS_LAID_OUT = 20_000;
     /** Sizing looks at the whole fleet; machines take far longer to come up. */
     private static final Duration PLAN_EVERY = Duration.ofMillis(500);
 
@@ -123,7 +122,6 @@
     }
 
     private void layOutJobs(TaskLayout layout, Instant now) {
-        int laidOut = 0;
         JobRequest sample = null;
         double reservedUse = 0;
         ShareAllowance allowance = new ShareAllowance(view, placing);
@@ -133,18 +131,18 @@
                 sample = request;
                 reservedUse += job.unfinished() * request.cpus();
             }
-            int tasks = allowance.take(job, Math.min(job.waiting(), MOST_TASKS_LAID_OUT - laidOut));
+            int tasks = allowance.take(job, job.waiting());
             if (tasks > 0) {
-                laidOut += layout.layOut(request, tasks);
+                layout.layOut(request, tasks);
             }
         }
         if (sample != null) {
             int spare = (int) Math.ceil(spareRoom.wanted(reservedUse, now) / sample.cpus());
-            layout.layOut(sample, Math.min(spare, MOST_TASKS_LAID_OUT - laidOut));
+            layout.layOut(sample, spare);
         }
     }
 
-    /** Urgent work first, then small jobs: one huge array must not use up what one look lays out. */
+    /** Urgent work first, then small jobs: one huge array must not use up the machines that one layout rents. */
     private List<JobRecord> byNeed() {
         List<JobRecord> jobs = new ArrayList<>(view.jobs());
         jobs.sort(Comparator.<JobRecord, Rank>comparing(job -> job.request().rank())
--- a/src/main/java/org/gullway/coordination/TaskLayout.java
+++ b/src/main/java/org/gullway/coordination/TaskLayout.java
@@ -11,6 +11,9 @@
  * rented, the cheapest kind that suits first.
  */
 final class TaskLayout {
+    /** New machines in one layout; the next one, half a second later, goes on with what was rented meanwhile. */
+    static final int MOST_RENTED = 10_000;
+
     private static final double EPSILON = 1e-6;
 
     /** Free room of one machine. */
@@ -35,18 +38,22 @@
                     offering.type().memoryGb());
         }
 
-        /** Takes room for one task; false if there is too little. */
-        boolean take(JobRequest job) {
-            if (cpus + EPSILON < job.cpus()
-                    || cards + EPSILON < job.cards()
-                    || memoryGb + EPSILON < job.memoryGb()
-                    || !offering.suits(job)) {
-                return false;
+        /** Takes room for up to so many tasks and returns for how many there was enough. */
+        int take(JobRequest job, int most) {
+            if (!offering.suits(job)) {
+                return 0;
             }
-            cpus -= job.cpus();
-            cards -= job.cards();
-            memoryGb -= job.memoryGb();
-            return true;
+            int taken = Math.min(most, fitting(cpus, job.cpus()));
+            taken = Math.min(taken, fitting(cards, job.cards()));
+            taken = Math.min(taken, fitting(memoryGb, job.memoryGb()));
+            cpus -= taken * job.cpus();
+            cards -= taken * job.cards();
+            memoryGb -= taken * job.memoryGb();
+            return taken;
+        }
+
+        private static int fitting(double room, double need) {
+            return need <= 0 ? Integer.MAX_VALUE : (int) Math.max(0, (room + EPSILON) / need);
         }
     }
 
@@ -86,20 +93,16 @@
     private static int fill(List<Slot> slots, JobRequest job, int tasks) {
         int laid = 0;
         for (int i = 0; i < slots.size() && laid < tasks; i++) {
-            while (laid < tasks && slots.get(i).take(job)) {
-                laid++;
-            }
+            laid += slots.get(i).take(job, tasks - laid);
         }
         return laid;
     }
 
     private int rentFor(JobRequest job, int tasks, Offering offering) {
         int laid = 0;
-        while (laid < tasks) {
+        while (laid < tasks && rented.size() < MOST_RENTED) {
             Slot slot = Slot.empty(offering);
-            while (laid < tasks && slot.take(job)) {
-                laid++;
-            }
+            laid += slot.take(job, tasks - laid);
             rented.add(slot);
         }
         return laid;
--- /dev/null
+++ b/src/test/java/org/gullway/coordination/TaskLayoutTest.java
@@ -0,0 +1,107 @@
+package org.gullway.coordination;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Map;
+import net.jqwik.api.Arbitraries;
+import net.jqwik.api.Arbitrary;
+import net.jqwik.api.Combinators;
+import net.jqwik.api.ForAll;
+import net.jqwik.api.From;
+import net.jqwik.api.Property;
+import net.jqwik.api.Provide;
+import net.jqwik.api.constraints.IntRange;
+import net.jqwik.api.constraints.Size;
+import org.gullway.protocol.JobRequest;
+import org.gullway.protocol.MachineType;
+import org.gullway.protocol.Rank;
+import org.junit.jupiter.api.Test;
+
+class TaskLayoutTest {
+    private static final MachineType TYPE =
+            new MachineType("small", 16, 0, 64, 50, 1, 1.0, 0.3, Duration.ofSeconds(40), List.of("a"));
+    private static final Offering SPOT = new Offering(TYPE, "a", true);
+    private static final Offering ORDINARY = new Offering(TYPE, "a", false);
+
+    /** Tasks of one kind. */
+    private record Batch(JobRequest request, int tasks) {}
+
+    private static JobRequest request(double cpus, double memoryGb, boolean spot) {
+        return new JobRequest(
+                "run-000001",
+                "render",
+                "red",
+                JobRequest.Shape.ARRAY,
+                Rank.HIGH,
+                JobRequest.MOST_TASKS,
+                cpus,
+                0,
+                memoryGb,
+                "img-1",
+                0.5,
+                null,
+                null,
+                false,
+                false,
+                spot,
+                Duration.ofSeconds(1),
+                Duration.ZERO,
+                Duration.ZERO,
+                null);
+    }
+
+    @Provide
+    Arbitrary<Batch> batches() {
+        return Combinators.combine(
+                        Arbitraries.of(0.5, 1.0, 3.3, 4.0, 16.0),
+                        Arbitraries.of(0.1, 2.0, 6.6, 40.0),
+                        Arbitraries.of(true, false),
+                        Arbitraries.integers().between(1, 60))
+                .as((cpus, memory, spot, tasks) -> new Batch(request(cpus, memory, spot), tasks));
+    }
+
+    /** Many tasks at a time come to the same machines as task by task. */
+    @Property(tries = 300, seed = "31")
+    void batchesComeToTheSameAsSingleTasks(
+            @ForAll @Size(max = 8) List<@From("batches") Batch> batches, @ForAll @IntRange(max = 6) int present) {
+        TaskLayout together = new TaskLayout(List.of(SPOT, ORDINARY));
+        TaskLayout oneByOne = new TaskLayout(List.of(SPOT, ORDINARY));
+        for (int i = 0; i < present; i++) {
+            ClusterView.Room used = new ClusterView.Room();
+            used.cpus = i;
+            together.add(i % 2 == 0 ? SPOT : ORDINARY, used);
+            oneByOne.add(i % 2 == 0 ? SPOT : ORDINARY, used);
+        }
+        List<Integer> laidTogether = new ArrayList<>();
+        List<Integer> laidOneByOne = new ArrayList<>();
+        for (Batch batch : batches) {
+            laidTogether.add(together.layOut(batch.request(), batch.tasks()));
+            int laid = 0;
+            for (int i = 0; i < batch.tasks(); i++) {
+                laid += oneByOne.layOut(batch.request(), 1);
+            }
+            laidOneByOne.add(laid);
+        }
+        assertThat(laidTogether).isEqualTo(laidOneByOne);
+        assertThat(together.toRent()).isEqualTo(oneByOne.toRent());
+    }
+
+    /** Six thousand machines' worth of tasks that wait at once. */
+    @Test
+    void aLayoutReachesBeyondFourThousandMachines() {
+        TaskLayout layout = new TaskLayout(List.of(SPOT));
+        assertThat(layout.layOut(request(1, 1, true), 96_000)).isEqualTo(96_000);
+        assertThat(layout.toRent()).isEqualTo(Map.of(SPOT, 6_000));
+    }
+
+    @Test
+    void atItsBoundItLeavesTheRestForTheNext() {
+        TaskLayout layout = new TaskLayout(List.of(SPOT));
+        assertThat(layout.layOut(request(16, 1, true), TaskLayout.MOST_RENTED + 5))
+                .isEqualTo(TaskLayout.MOST_RENTED);
+        assertThat(layout.layOut(request(16, 1, true), 1)).isZero();
+    }
+}
