A cancellation of a job that the view lacks waits for the watch

Change: the cancellation keeps the revision of its reading and is looked up again only once the watch has passed it.

--- a/src/main/java/org/gullway/requests/CancellationRequests.java
+++ b/src/main/java/org/gullway/requests/CancellationRequests.java
@@ -28,7 +28,12 @@
     private final Runnable changed;
     private final Map<String, Cancellation> pending = new LinkedHashMap<>();
 
-    private record Cancellation(String id, Instant came, List<UserCall> calls) {}
+    /**
+     * A cancellation that waits to be recorded.
+     *
+     * @param readAt revision at which the job was read, since the view lacked it; 0 if the view had it
+     */
+    private record Cancellation(String id, Instant came, long readAt, List<UserCall> calls) {}
 
     /** @param changed asks for a round of decisions */
     CancellationRequests(
@@ -59,7 +64,7 @@
         } else if (view.job(id) == null) {
             lookUps.lookUp(id, found -> cancelFound(found, call), () -> UserAnswers.refuse(call.call()));
         } else {
-            enqueue(id, call);
+            enqueue(id, call, 0);
         }
     }
 
@@ -67,12 +72,12 @@
         if (found.status() == null || found.isFinal()) {
             answers.answerCancellation(call, found);
         } else {
-            enqueue(found.id(), call);
+            enqueue(found.id(), call, found.evidence().revision());
         }
     }
 
-    private void enqueue(String id, UserCall call) {
-        pending.computeIfAbsent(id, i -> new Cancellation(i, loop.now(), new ArrayList<>()))
+    private void enqueue(String id, UserCall call, long readAt) {
+        pending.computeIfAbsent(id, i -> new Cancellation(i, loop.now(), readAt, new ArrayList<>()))
                 .calls()
                 .add(call);
         changed.run();
@@ -98,7 +103,9 @@
             if (end != null) {
                 JobFinding found = JobFinding.ofFinalState(end);
                 pending.remove(id).calls().forEach(call -> answers.answerCancellation(call, found));
-            } else if (view.job(id) == null) {
+            } else if (view.job(id) == null && view.watched() >= cancellation.readAt()) {
+                // It has ended since. A job that was read is only still to come: it was once read again and again until
+                // then, with what is meant for submissions (incident went-back-384079).
                 pending.remove(id).calls().forEach(call -> cancel(id, call));
             } else if (!entitled || cancellation.came().plus(PATIENCE).isBefore(now)) {
                 pending.remove(id).calls().forEach(call -> UserAnswers.refuse(call.call()));
--- a/src/test/java/org/gullway/LateCommitAnswerTest.java
+++ b/src/test/java/org/gullway/LateCommitAnswerTest.java
@@ -27,6 +27,7 @@
 class LateCommitAnswerTest {
     private static final String JOB = "run-384079";
     private static final Duration COMMIT_ANSWERED_AFTER = Duration.ofMillis(400);
+    private static final Duration WATCH_LAGS = Duration.ofMillis(1700);
     private static final Duration BETWEEN_SUBMISSIONS = Duration.ofMillis(5);
     private static final int SUBMISSIONS = 120;
 
@@ -163,4 +164,26 @@
                 () -> user.cancel(world.address(other), () -> user.submitAgainAndAgain(world.address(slow))));
         nothingWentBack(world, user);
     }
+
+    /**
+     * A controller whose watch lags is asked to cancel a job that was accepted elsewhere. Guards that it reads the job
+     * once and waits for the watch: it read it again and again, with what is meant for submissions.
+     */
+    @Property(tries = 4, seed = "234")
+    void aCancelledJobThatTheViewLacksIsNotReadAgainAndAgain(@ForAll @IntRange(min = 1, max = 1000) int seed) {
+        SimulatedWorld world = started(seed);
+        String slow = world.otherThan(world.leader());
+        Submitter user = new Submitter(world);
+        world.store.answerLate(
+                (client, call) -> client.equals(slow) && call.path().equals("/watch"), WATCH_LAGS);
+        // A watch that is open already would be answered in time.
+        world.run(Duration.ofSeconds(3));
+        world.stateRequests.clear();
+        user.submit(
+                world.address(world.leader()),
+                first -> user.cancel(world.address(slow), () -> user.submitAgainAndAgain(world.address(slow))));
+        user.run(WATCH_LAGS.minusMillis(500));
+        assertThat(world.stateRequests.reads(slow)).isBetween(1, 2);
+        nothingWentBack(world, user);
+    }
 }
