--- a/review/stand-in/World.java
+++ b/review/stand-in/World.java
@@ -593,9 +593,10 @@
             return rental;
         }
 
-        /** A machine that is up at the start. */
+        /** A machine that is up at the start, and is on the list already. */
         void upAtStart(Type type, String zone) {
             Rental rental = rent(type, zone, false);
+            rental.rentedAt = now() - (long) (site.listLagS * 1000);
             boot(rental);
         }
 
