Metrics line: how long the transaction in flight has been waiting

The metrics line showed that `commits` stays the same, but not why: a transaction that never gets its outcome, a watch that never reaches an awaited revision, and a pause between transactions all look alike.

The new key commit_in_flight_ms tells them apart.

--- a/src/main/java/org/gullway/controller/Controller.java
+++ b/src/main/java/org/gullway/controller/Controller.java
@@ -231,7 +231,7 @@
     }
 
     private void logMetrics() {
-        monitoring.metrics().log(ClusterSummary.of(clusterState, role()));
+        monitoring.metrics().log(ClusterSummary.of(clusterState, role()), replicatedState.commitInFlightTime());
     }
 
     private ClusterSummary.Role role() {
--- a/src/main/java/org/gullway/observability/Metrics.java
+++ b/src/main/java/org/gullway/observability/Metrics.java
@@ -22,7 +22,7 @@
     private static final Logger LOG = LoggerFactory.getLogger(Metrics.class);
     private static final String LOG_FORMAT = "{} submissions_accepted={} submission_p99_ms={}"
             + " commits={} conflicts={} job_changes={} shard_changes={} other_changes={}"
-            + " commit_p50_ms={} commit_p99_ms={} cycles={} cycle_max_ms={}"
+            + " commit_p50_ms={} commit_p99_ms={} commit_in_flight_ms={} cycles={} cycle_max_ms={}"
             + " command_batches={} resource_offers={} status_queries_answered={} status_queries_rejected={}"
             + " invariant_violations={}";
 
@@ -149,8 +149,13 @@
         return (long) registry().get(name).functionCounter().count();
     }
 
-    /** Logs all metrics in one line and resets the histograms. The counters keep their values. */
-    public void log(ClusterSummary cluster) {
+    /**
+     * Logs all metrics in one line and resets the histograms. The counters keep their values.
+     *
+     * @param commitInFlightTime how long the transaction in flight has been waiting for its outcome; zero if there is
+     *     none
+     */
+    public void log(ClusterSummary cluster, Duration commitInFlightTime) {
         LOG.info(
                 LOG_FORMAT,
                 cluster.toLogPairs(),
@@ -163,6 +168,7 @@
                 counterValue(OTHER_CHANGES),
                 commitLatency.getValueAtPercentile(50),
                 commitLatency.getValueAtPercentile(99),
+                commitInFlightTime.toMillis(),
                 cycleDuration.getTotalCount(),
                 cycleDuration.getMaxValue(),
                 counterValue(COMMAND_BATCHES),
--- a/src/main/java/org/gullway/storage/ReplicatedState.java
+++ b/src/main/java/org/gullway/storage/ReplicatedState.java
@@ -187,6 +187,11 @@
         return holdsValidLease() && committer.isReady();
     }
 
+    /** Returns how long the transaction in flight has been waiting for its outcome; zero if none is in flight. */
+    public Duration commitInFlightTime() {
+        return committer.inFlightTime();
+    }
+
     /**
      * Sends the transaction. Must be called on the event loop, and only if {@link #canCommit()} returns true. The
      * callback runs on the event loop once the outcome is known; if the outcome is unknown, the callback runs after the
--- a/src/main/java/org/gullway/storage/TransactionCommitter.java
+++ b/src/main/java/org/gullway/storage/TransactionCommitter.java
@@ -31,6 +31,8 @@
     private final TransactionFence fence;
     private final ConflictHistory conflictHistory = new ConflictHistory();
     private boolean inFlight;
+    /** When the transaction in flight was sent; meaningless while none is in flight. */
+    private Instant inFlightSince = Instant.MIN;
 
     /** A transaction in flight, with the membership and the key versions with which it was sent. */
     private record SentTransaction(
@@ -81,6 +83,11 @@
                 && watchStream.checkAwaitedRevision();
     }
 
+    /** Returns how long the transaction in flight has been waiting for its outcome; zero if none is in flight. */
+    Duration inFlightTime() {
+        return inFlight ? Duration.between(inFlightSince, loop.now()) : Duration.ZERO;
+    }
+
     private long leaderRevision() {
         return membershipLease.self().equals(clusterState.leader()) ? clusterState.version(StoreKeys.LEADER) : 0;
     }
@@ -88,6 +95,7 @@
     /** See {@link ReplicatedState#commit}. */
     void commit(Transaction transaction, Consumer<CommitResult> callback) {
         inFlight = true;
+        inFlightSince = loop.now();
         pacing.onSent(transaction.changes().size());
         SentTransaction sent = toSentTransaction(transaction);
         store.commit(
