A transaction that cannot be encoded no longer blocks all later ones

Cause: TransactionCommitter.commit marks the transaction as in flight, then the state store client encodes it. The exception of the encoder left through the event loop, so no outcome ever arrived, and only an outcome, or a new membership, clears the mark. The membership does not end, since the lease is renewed independently.

Change: every call of the state store client leads to one outcome, also if the request cannot be encoded; the committer then clears the transaction in flight. The same changes would be planned and fail again in every cycle, so after such a failure each planning step gets cycles, and so transactions, of its own for a while: only the step with the bad change fails, and it is named in the log.

--- a/src/main/java/org/gullway/controller/SchedulingCycle.java
+++ b/src/main/java/org/gullway/controller/SchedulingCycle.java
@@ -3,6 +3,7 @@
 import java.time.Duration;
 import java.time.Instant;
 import java.time.InstantSource;
+import java.util.Optional;
 import org.gullway.api.UserApi;
 import org.gullway.coordination.agents.CompletionBuffer;
 import org.gullway.coordination.cycle.CycleSteps;
@@ -16,12 +17,18 @@
 import org.gullway.protocol.Settings;
 import org.gullway.storage.ReplicatedState;
 import org.gullway.transport.EventLoop;
+import org.slf4j.Logger;
+import org.slf4j.LoggerFactory;
 
 /**
  * The planning part of a scheduling cycle. Runs planning steps until the time budget is used up; the step in progress
  * is always completed. The steps add their changes to one transaction, which is then committed.
+ *
+ * <p>If a transaction cannot be encoded, the steps get a cycle and so a transaction each for a while. Then only the
+ * step whose changes cannot be encoded fails, and the changes of the other steps are committed.
  */
 final class SchedulingCycle {
+    private static final Logger LOG = LoggerFactory.getLogger(SchedulingCycle.class);
     private static final Duration TIME_BUDGET = Duration.ofMillis(150);
 
     private final EventLoop loop;
@@ -33,6 +40,7 @@
     private final CompletionBuffer completionBuffer;
     private final UserApi userApi;
     private final Metrics metrics;
+    private final Runnable requestCycle;
     private final CycleSteps steps = new CycleSteps(TIME_BUDGET);
     /** Set by {@link #run} for the steps, which are added before the transaction exists; not used between cycles. */
     private Transaction currentTransaction;
@@ -52,6 +60,7 @@
         this.completionBuffer = completionBuffer;
         this.userApi = userApi;
         this.metrics = metrics;
+        this.requestCycle = environment.requestCycle();
     }
 
     private static Transaction.Limits limits(Settings settings) {
@@ -102,10 +111,12 @@
         currentTransaction = transaction;
         claimOrConfirmLeadership(transaction);
         completionBuffer.releaseResources(transaction);
-        steps.run(startedAt, loop::now);
+        Optional<String> isolatedStep = steps.run(startedAt, loop::now);
         completionBuffer.addToChangedJobs(transaction);
         if (!transaction.isEmpty()) {
-            commit(transaction, startedAt);
+            commit(transaction, startedAt, isolatedStep);
+        } else if (isolatedStep.isPresent()) {
+            requestCycle.run();
         }
     }
 
@@ -119,17 +130,26 @@
         }
     }
 
-    private void commit(Transaction transaction, Instant startedAt) {
+    private void commit(Transaction transaction, Instant startedAt, Optional<String> isolatedStep) {
         Instant sentAt = loop.now();
         replicatedState.commit(transaction, result -> {
             Duration elapsed = Duration.between(startedAt, loop.now());
             metrics.transactionFinished(
-                    result.committed(), transaction.changes().keySet(), elapsed);
-            if (result.committed()) {
-                userApi.onCommitted(transaction, result.revision(), sentAt);
-            } else {
-                userApi.onConflict(result.failedConditions());
+                    result.isCommitted(), transaction.changes().keySet(), elapsed);
+            switch (result.status()) {
+                case COMMITTED -> userApi.onCommitted(transaction, result.revision(), sentAt);
+                case UNCONFIRMED -> userApi.onConflict(result.failedConditions());
+                case NOT_ENCODABLE -> onNotEncodable(isolatedStep);
             }
         });
     }
+
+    /** @param isolatedStep the only step that has planned the transaction; empty if there may be several */
+    private void onNotEncodable(Optional<String> isolatedStep) {
+        if (isolatedStep.isPresent()) {
+            LOG.error("the changes of a scheduling cycle step cannot be encoded step={}", isolatedStep.get());
+        } else {
+            steps.isolate();
+        }
+    }
 }
--- a/src/main/java/org/gullway/storage/ReplicatedState.java
+++ b/src/main/java/org/gullway/storage/ReplicatedState.java
@@ -22,21 +22,36 @@
     /**
      * Outcome of a transaction.
      *
-     * @param committed true if the store confirmed the commit; if false, the transaction cannot be applied any more,
-     *     but a transaction that had to be fenced may have been applied before
      * @param failedConditions keys whose conditions failed
-     * @param revision revision of the state store at which the transaction was committed; 0 if {@code committed} is
-     *     false
+     * @param revision revision of the state store at which the transaction was committed; 0 if it was not
      */
-    public record CommitResult(boolean committed, Set<String> failedConditions, long revision) {
+    public record CommitResult(Status status, Set<String> failedConditions, long revision) {
+        /** Whether the transaction was committed, and if not, why. */
+        public enum Status {
+            /** The store confirmed the commit. */
+            COMMITTED,
+            /**
+             * The transaction cannot be applied any more, but a transaction that had to be fenced may have been applied
+             * before.
+             */
+            UNCONFIRMED,
+            /** The transaction could not be encoded and was not sent. The same changes would fail again. */
+            NOT_ENCODABLE
+        }
+
         static final CommitResult UNCONFIRMED = unconfirmed(Set.of());
+        static final CommitResult NOT_ENCODABLE = new CommitResult(Status.NOT_ENCODABLE, Set.of(), 0);
 
         static CommitResult committed(long revision) {
-            return new CommitResult(true, Set.of(), revision);
+            return new CommitResult(Status.COMMITTED, Set.of(), revision);
         }
 
         static CommitResult unconfirmed(Set<String> failedConditions) {
-            return new CommitResult(false, failedConditions, 0);
+            return new CommitResult(Status.UNCONFIRMED, failedConditions, 0);
+        }
+
+        public boolean isCommitted() {
+            return status == Status.COMMITTED;
         }
     }
 
@@ -195,7 +210,7 @@
     /**
      * Sends the transaction. Must be called on the event loop, and only if {@link #canCommit()} returns true. The
      * callback runs on the event loop once the outcome is known; if the outcome is unknown, the callback runs after the
-     * transaction has been fenced.
+     * transaction has been fenced. If the transaction cannot be encoded, the callback runs within this method.
      */
     public void commit(Transaction transaction, Consumer<CommitResult> callback) {
         committer.commit(transaction, callback);
--- a/src/main/java/org/gullway/storage/StateStoreClient.java
+++ b/src/main/java/org/gullway/storage/StateStoreClient.java
@@ -18,12 +18,16 @@
 import org.gullway.transport.HttpRequest;
 import org.gullway.transport.HttpResponse;
 import org.gullway.transport.HttpStatus;
+import org.slf4j.Logger;
+import org.slf4j.LoggerFactory;
 
 /**
- * Client for the HTTP API of the state store. The outcome of a request counts as unknown if the request may have been
+ * Client for the HTTP API of the state store. Every call leads to exactly one call of its callback, also if the request
+ * cannot be encoded: callers wait for the outcome before they send the next request. The outcome of a request counts as unknown if the request may have been
  * sent but has no response, or if its response has an unexpected status, or status 200 without a readable body.
  */
 public final class StateStoreClient {
+    private static final Logger LOG = LoggerFactory.getLogger(StateStoreClient.class);
     private static final Duration REQUEST_TIMEOUT = Duration.ofSeconds(3);
     /** Delay after which callers repeat a failed request. */
     static final Duration RETRY_DELAY = Duration.ofMillis(250);
@@ -44,8 +48,15 @@
      * @param httpOutcome whether the request was answered, and if not, whether it may have been carried out
      * @param status HTTP status; 0 if the request was not answered
      * @param body decoded body of the response; null if the response has no body or the body is not a CBOR map
+     * @param isEncodable false if the request could not be encoded, so that nothing was sent
      */
-    public record Outcome(HttpResponse.Outcome httpOutcome, int status, ObjectNode body) {
+    public record Outcome(HttpResponse.Outcome httpOutcome, int status, ObjectNode body, boolean isEncodable) {
+        private static final Outcome NOT_ENCODABLE = new Outcome(HttpResponse.Outcome.NOT_SENT, 0, null, false);
+
+        private static Outcome of(HttpResponse response) {
+            return new Outcome(response.outcome(), response.status(), bodyOf(response), true);
+        }
+
         private boolean hasStatus(int expected) {
             return httpOutcome == HttpResponse.Outcome.ANSWERED && status == expected;
         }
@@ -137,10 +148,7 @@
     }
 
     private void send(HttpRequest request, Consumer<Outcome> callback) {
-        httpClient.call(
-                address,
-                request,
-                response -> callback.accept(new Outcome(response.outcome(), response.status(), bodyOf(response))));
+        httpClient.call(address, request, response -> callback.accept(Outcome.of(response)));
     }
 
     private static ObjectNode bodyOf(HttpResponse response) {
@@ -195,7 +203,8 @@
     }
 
     /**
-     * Commits a transaction: applies the changes if all keys in {@code conditions} have their expected versions.
+     * Commits a transaction: applies the changes if all keys in {@code conditions} have their expected versions. If the
+     * transaction cannot be encoded, the callback is called before this method returns.
      *
      * @param versionOf returns the expected version of a key; 0 if the key must not exist
      * @param changes new value of each key; null removes the key
@@ -208,6 +217,22 @@
             Map<String, ? extends StoreRecord> changes,
             long leaseId,
             Consumer<Outcome> callback) {
+        byte[] body;
+        try {
+            body = encodeTransaction(conditions, versionOf, changes, leaseId);
+        } catch (RuntimeException e) {
+            LOG.error("could not encode a transaction and did not send it keys={}", changes.keySet(), e);
+            callback.accept(Outcome.NOT_ENCODABLE);
+            return;
+        }
+        send(HttpRequest.post("/commit", body, REQUEST_TIMEOUT), callback);
+    }
+
+    private static byte[] encodeTransaction(
+            Collection<String> conditions,
+            ToLongFunction<String> versionOf,
+            Map<String, ? extends StoreRecord> changes,
+            long leaseId) {
         ObjectNode transaction = Cbor.map();
         ArrayNode guards = transaction.putArray("guards");
         for (String key : conditions) {
@@ -215,7 +240,7 @@
         }
         ArrayNode then = transaction.putArray("then");
         changes.forEach((key, value) -> addChange(then.addObject(), key, value, leaseId));
-        send(HttpRequest.post("/commit", Cbor.encode(transaction), REQUEST_TIMEOUT), callback);
+        return Cbor.encode(transaction);
     }
 
     private static void addChange(ObjectNode change, String key, StoreRecord value, long leaseId) {
--- a/src/main/java/org/gullway/storage/TransactionCommitter.java
+++ b/src/main/java/org/gullway/storage/TransactionCommitter.java
@@ -129,6 +129,10 @@
                 onFenced(result, membershipNumber, revision);
                 callback.accept(CommitResult.UNCONFIRMED);
             });
+        } else if (!outcome.isEncodable()) {
+            onOutcomeKnown(sent.membershipNumber());
+            pacing.onRejected(false);
+            callback.accept(CommitResult.NOT_ENCODABLE);
         } else {
             callback.accept(CommitResult.unconfirmed(handleNotApplied(sent, outcome)));
         }
--- a/src/test/java/org/gullway/coordination/cycle/CycleStepsTest.java
+++ b/src/test/java/org/gullway/coordination/cycle/CycleStepsTest.java
@@ -54,6 +54,21 @@
         assertThat(runCycle()).containsExactly("a", "b");
     }
 
+    /** Guards against a step that stays without a cycle of its own, or cycles of one step that never end. */
+    @Test
+    void everyStepHasACycleOfItsOwnAfterIsolation() {
+        add("a", 60);
+        add("b", 60);
+        add("c", 10);
+        assertThat(runCycle()).containsExactly("a", "b");
+        steps.isolate();
+        assertThat(runCycle()).containsExactly("c");
+        assertThat(runCycle()).containsExactly("a");
+        assertThat(steps.run(now, () -> now)).contains("b");
+        assertThat(runCycle()).containsExactly("c", "a", "b");
+        assertThat(steps.run(now, () -> now)).isEmpty();
+    }
+
     @Test
     void remainingStepsRunAfterAStepThrows() {
         steps.add("failing", () -> {
--- a/src/test/java/org/gullway/coordination/model/TestFixtures.java
+++ b/src/test/java/org/gullway/coordination/model/TestFixtures.java
@@ -51,6 +51,16 @@
                 null);
     }
 
+    /** An accepted best-effort job. */
+    public static JobRecord job(String id) {
+        return JobRecord.accepted(request(id, "red", Priority.NORMAL, 1, 1), SELF.node(), WALL_CLOCK_TIME);
+    }
+
+    /** A job that cannot be encoded, since its owner's name ends in half of a surrogate pair. */
+    public static JobRecord unencodableJob(String id) {
+        return JobRecord.accepted(request(id, "red", Priority.NORMAL, 1, 1), "perch-\uD83D", WALL_CLOCK_TIME);
+    }
+
     /** The quotas of two teams. */
     public static TeamQuotas quotas() {
         return new TeamQuotas(Map.of(
--- a/src/test/java/org/gullway/storage/ReplicatedStateTest.java
+++ b/src/test/java/org/gullway/storage/ReplicatedStateTest.java
@@ -1,6 +1,7 @@
 package org.gullway.storage;
 
 import static org.assertj.core.api.Assertions.assertThat;
+import static org.assertj.core.api.Assertions.catchThrowable;
 
 import java.time.Duration;
 import java.time.Instant;
@@ -67,11 +68,37 @@
         List<ReplicatedState.CommitResult> results = new ArrayList<>();
         replicatedState.commit(fencingTokenTransaction(), results::add);
         run(1);
-        assertThat(results).extracting(ReplicatedState.CommitResult::committed).containsExactly(true);
+        assertThat(results)
+                .extracting(ReplicatedState.CommitResult::isCommitted)
+                .containsExactly(true);
         assertThat(clusterState.fencingToken()).isEqualTo(1);
         assertThat(store.value(StoreKeys.FENCING_TOKEN).path("epoch").asLong()).isEqualTo(1);
     }
 
+    /**
+     * Guards against a controller that never commits again: the exception of a transaction that cannot be encoded left
+     * the transaction in flight for good.
+     */
+    @Test
+    void transactionThatCannotBeEncodedDoesNotBlockLaterTransactions() {
+        Transaction transaction =
+                new Transaction(clusterState, TestFixtures.SELF, TestFixtures.LIMITS, TestFixtures.WALL_CLOCK_TIME);
+        transaction.put(StoreKeys.job("run-000001"), TestFixtures.unencodableJob("run-000001"));
+        List<ReplicatedState.CommitResult> results = new ArrayList<>();
+        // The event loop of a real process logs an exception and goes on.
+        Throwable thrown = catchThrowable(() -> replicatedState.commit(transaction, results::add));
+        run(1);
+        assertThat(replicatedState.canCommit()).isTrue();
+        assertThat(thrown).isNull();
+        assertThat(results)
+                .extracting(ReplicatedState.CommitResult::isCommitted)
+                .containsExactly(false);
+        replicatedState.commit(fencingTokenTransaction(), results::add);
+        run(1);
+        assertThat(store.value(StoreKeys.FENCING_TOKEN).path("epoch").asLong()).isEqualTo(1);
+        assertThat(store.value(StoreKeys.job("run-000001"))).isNull();
+    }
+
     @Test
     void commitsStayWithinTheChangeRateLimit() {
         int sent = 0;
