Text that is not valid UTF-8 is malformed: 400, for users, agents and peers

Cause: Jackson's CBOR parser accepts text that RFC 8949, section 3.1, does not allow: encoded surrogates, single or in pairs, overlong forms, and sequences above the last code point. Its generator then refuses a single surrogate.

Change, in one place for all requests: every parser of a body is created after CborTextScanner has checked its text strings with the strict decoder of the class library, those of unknown fields and keys included. Submissions, heartbeats and agents' responses go through it. As a second check, a text field is invalid if it holds half of a surrogate pair, wherever the text came from (settings and stored records are read by the same class).

--- a/src/main/java/org/gullway/protocol/Cbor.java
+++ b/src/main/java/org/gullway/protocol/Cbor.java
@@ -32,22 +32,42 @@
         return bytes.toByteArray();
     }
 
-    /** Returns a streaming parser for the body. */
-    static JsonParser parser(byte[] body) throws IOException {
+    /**
+     * Returns a streaming parser for the body.
+     *
+     * @throws MalformedMessageException if a text string of the body is not valid UTF-8
+     */
+    static JsonParser parser(byte[] body) throws IOException, MalformedMessageException {
+        if (CborTextScanner.hasInvalidText(body)) {
+            throw new MalformedMessageException("not valid CBOR: a text string is not valid UTF-8");
+        }
         return FACTORY.createParser(body);
     }
 
-    /** Decodes a body that consists of exactly one map. */
+    /**
+     * Decodes a body that consists of exactly one map.
+     *
+     * @throws MalformedMessageException if the body is not valid CBOR, which includes text strings that are not valid
+     *     UTF-8, or not a map
+     */
     public static ObjectNode decode(byte[] body) throws MalformedMessageException {
-        JsonNode node;
         try (JsonParser parser = parser(body)) {
+            return decode(parser);
+        } catch (IOException e) {
+            throw new MalformedMessageException("not valid CBOR", e);
+        }
+    }
+
+    private static ObjectNode decode(JsonParser parser) throws IOException, MalformedMessageException {
+        JsonNode node;
+        try {
             node = JsonTrees.readNext(parser);
             if (parser.nextToken() != null) {
                 throw new MalformedMessageException("unexpected bytes after the CBOR map");
             }
-        } catch (IOException | StackOverflowError e) {
+        } catch (StackOverflowError e) {
             // JsonTrees reads nested values recursively, so a body that is nested too deeply may exhaust the stack.
-            throw new MalformedMessageException("not valid CBOR, or nested too deeply", e);
+            throw new MalformedMessageException("nested too deeply", e);
         }
         if (!(node instanceof ObjectNode map)) {
             throw new MalformedMessageException("not a CBOR map");
--- a/src/main/java/org/gullway/protocol/MessageFields.java
+++ b/src/main/java/org/gullway/protocol/MessageFields.java
@@ -2,6 +2,7 @@
 
 import com.fasterxml.jackson.databind.JsonNode;
 import java.math.BigInteger;
+import java.nio.charset.StandardCharsets;
 import java.time.Duration;
 import java.util.ArrayList;
 import java.util.List;
@@ -42,13 +43,33 @@
         return new MalformedMessageException(pathPrefix + name + " is not " + expected);
     }
 
-    /** Reads a text that is not empty and has at most {@link #MAX_TEXT_CHARACTERS} characters. */
+    /**
+     * Reads a text that is not empty, has at most {@link #MAX_TEXT_CHARACTERS} characters, and can be encoded again.
+     */
     public String text(String name) throws MalformedMessageException {
         JsonNode node = required(name);
         if (!node.isTextual() || node.textValue().isEmpty() || node.textValue().length() > MAX_TEXT_CHARACTERS) {
             throw invalid(name, "a text of 1 to " + MAX_TEXT_CHARACTERS + " characters");
         }
-        return node.textValue();
+        return requireEncodable(name, node.textValue());
+    }
+
+    /** A text with half of a surrogate pair has no UTF-8 form, so no message or record with it can be encoded. */
+    private String requireEncodable(String name, String text) throws MalformedMessageException {
+        if (!isEncodable(text)) {
+            throw invalid(name, "a text of complete characters");
+        }
+        return text;
+    }
+
+    /** Returns whether the text has a UTF-8 form: whether each surrogate in it is part of a pair. */
+    static boolean isEncodable(String text) {
+        for (int i = 0; i < text.length(); i++) {
+            if (Character.isSurrogate(text.charAt(i))) {
+                return StandardCharsets.UTF_8.newEncoder().canEncode(text);
+            }
+        }
+        return true;
     }
 
     public String textOrNull(String name) throws MalformedMessageException {
@@ -139,7 +160,7 @@
             if (!item.isTextual()) {
                 throw invalid(name, "a list of texts");
             }
-            texts.add(item.textValue());
+            texts.add(requireEncodable(name, item.textValue()));
         }
         return List.copyOf(texts);
     }
--- a/src/test/java/org/gullway/protocol/FormatsTest.java
+++ b/src/test/java/org/gullway/protocol/FormatsTest.java
@@ -264,6 +264,21 @@
             sockets = 3000
             """;
 
+    /** Guards the second check, behind the one of the encoded body: half of a surrogate pair is no text of a field. */
+    @Test
+    void textsWithHalfOfASurrogatePairAreRejected() {
+        for (String text : List.of("img-\uD83D", "\uDE00-img", "\uDE00\uD83D")) {
+            for (String field : List.of("herd", "crew", "kit", "shore")) {
+                assertThatThrownBy(() -> JobRequest.parse(validSubmission().put(field, text)))
+                        .isInstanceOf(MalformedMessageException.class)
+                        .hasMessageContaining(field);
+            }
+            ObjectNode node = validSubmission();
+            node.putArray("breeds").add(text);
+            assertThatThrownBy(() -> JobRequest.parse(node)).hasMessageContaining("breeds");
+        }
+    }
+
     private static Settings settings(String text) throws Exception {
         return Settings.of(new TomlMapper().readTree(text));
     }
--- a/src/test/java/org/gullway/protocol/HeartbeatTest.java
+++ b/src/test/java/org/gullway/protocol/HeartbeatTest.java
@@ -147,6 +147,30 @@
                 .isInstanceOf(MalformedMessageException.class);
     }
 
+    /** Guards against a task id that is accepted although no command with it can be encoded. */
+    @Test
+    void rejectsTextsThatAreNotValidUtf8() {
+        ObjectNode sample = heartbeat(88, 2, "ended");
+        List<ObjectNode> changed = new ArrayList<>();
+        for (String name : List.of("perch", "endpoint", "breed", "shore", "unknown_field")) {
+            changed.add(sample.deepCopy().put(name, InvalidTexts.PLACEHOLDER));
+        }
+        for (String name : List.of("leg", "tide", "cause", "unknown_field")) {
+            ObjectNode node = sample.deepCopy();
+            ((ObjectNode) node.path("legs").get(1))
+                    .put(name, InvalidTexts.PLACEHOLDER + (name.equals("leg") ? "/0" : ""));
+            changed.add(node);
+        }
+        for (ObjectNode node : changed) {
+            for (String sequence : InvalidTexts.SEQUENCES) {
+                byte[] body = InvalidTexts.replacePlaceholder(Cbor.encode(node), sequence);
+                assertThatThrownBy(() -> read(body))
+                        .as("%s in %s", sequence, node)
+                        .isInstanceOf(MalformedMessageException.class);
+            }
+        }
+    }
+
     @Test
     void corruptedHeartbeatsCauseOnlyMalformedMessageExceptions() {
         SplittableRandom random = new SplittableRandom(7);
