A stored text that is not valid UTF-8 costs its record only

Before, the parser accepted a record with half of a surrogate pair, so every later change of that record could not be encoded; other invalid bytes made the whole page of a full read, or the whole watch response, malformed, and the read was repeated for good: no controller could serve.

Change: the responses of the state store are decoded leniently. A text string that is not valid UTF-8 becomes a binary value (a byte string of the same bytes), which no field accepts, so the record is malformed, is logged with its key and ignored, and all others are read. Texts at positions of lists (machine records, placements) are checked for their type, too.

Test, which failed before the fix: ReplicatedStateTest# recordWithTextThatIsNotUtf8DoesNotHideOtherRecords (the record with ED A0 BD was accepted as a machine).

--- a/src/main/java/org/gullway/protocol/Cbor.java
+++ b/src/main/java/org/gullway/protocol/Cbor.java
@@ -58,6 +58,19 @@
         }
     }
 
+    /**
+     * Decodes a body like {@link #decode(byte[])}, except that a text string that is not valid UTF-8 is decoded as a
+     * binary value, and a key as another key. So the fields and records with such texts are malformed, but the rest of
+     * the body is not. For lists from services that many depend on; for a request, the whole body is malformed.
+     */
+    public static ObjectNode decodeLeniently(byte[] body) throws MalformedMessageException {
+        try (JsonParser parser = FACTORY.createParser(CborTextScanner.withInvalidTextsAsBytes(body))) {
+            return decode(parser);
+        } catch (IOException e) {
+            throw new MalformedMessageException("not valid CBOR", e);
+        }
+    }
+
     private static ObjectNode decode(JsonParser parser) throws IOException, MalformedMessageException {
         JsonNode node;
         try {
--- a/src/main/java/org/gullway/protocol/MessageFields.java
+++ b/src/main/java/org/gullway/protocol/MessageFields.java
@@ -146,6 +146,19 @@
         return node.booleanValue();
     }
 
+    /**
+     * Reads the text at a position of a list. Returns an empty text if the list is shorter.
+     *
+     * @param path the path of the list, for the error
+     */
+    public static String textAt(JsonNode list, int position, String path) throws MalformedMessageException {
+        JsonNode node = list.path(position);
+        if (!node.isTextual() && !node.isMissingNode()) {
+            throw new MalformedMessageException(path + "[" + position + "] is not a text");
+        }
+        return node.asText();
+    }
+
     /** Reads a list of texts, which may be empty. Returns null if the field is missing. */
     public List<String> textsOrNull(String name) throws MalformedMessageException {
         if (!has(name)) {
--- a/src/main/java/org/gullway/storage/JobFormat.java
+++ b/src/main/java/org/gullway/storage/JobFormat.java
@@ -102,12 +102,13 @@
         return Instant.ofEpochMilli(fields.count(name));
     }
 
-    private static List<Placement> decodePlacements(JsonNode value, Instant submittedAt) {
+    private static List<Placement> decodePlacements(JsonNode value, Instant submittedAt)
+            throws MalformedMessageException {
         Set<Integer> stopping = new HashSet<>();
         value.path("stopping").forEach(task -> stopping.add(task.asInt()));
         List<Placement> live = new ArrayList<>();
         for (JsonNode entry : value.path("live")) {
-            String machine = entry.path(MACHINE).asText();
+            String machine = MessageFields.textAt(entry, MACHINE, "live[]");
             long agentEpoch = entry.path(AGENT_EPOCH).asLong();
             Instant placedAt =
                     submittedAt.plusMillis(entry.path(MILLIS_SINCE_SUBMISSION).asLong());
--- a/src/main/java/org/gullway/storage/MachineShardFormat.java
+++ b/src/main/java/org/gullway/storage/MachineShardFormat.java
@@ -68,21 +68,25 @@
 
     private static MachineRecord decodeMachine(JsonNode machine, Incarnation controller, long fencingToken)
             throws MalformedMessageException {
-        String name = machine.path(NAME).asText();
-        String address = machine.path(ADDRESS).asText();
+        String name = text(machine, NAME);
+        String address = text(machine, ADDRESS);
         return new MachineRecord(
                 name,
                 address.isEmpty() ? null : address,
-                machine.path(TYPE).asText(),
-                machine.path(ZONE).asText(),
+                text(machine, TYPE),
+                text(machine, ZONE),
                 machine.path(SPOT).asBoolean(),
                 controller,
                 machine.path(AGENT_EPOCH).asLong(),
                 fencingToken,
-                decodeLifecycle(name, machine.path(LIFECYCLE).asText()),
+                decodeLifecycle(name, text(machine, LIFECYCLE)),
                 Instant.ofEpochMilli(machine.path(PROVISIONED_AT).asLong()));
     }
 
+    private static String text(JsonNode machine, int position) throws MalformedMessageException {
+        return MessageFields.textAt(machine, position, "machines[]");
+    }
+
     private static MachineLifecycle decodeLifecycle(String machine, String storedName)
             throws MalformedMessageException {
         return switch (storedName) {
--- a/src/main/java/org/gullway/storage/StateStoreClient.java
+++ b/src/main/java/org/gullway/storage/StateStoreClient.java
@@ -156,7 +156,7 @@
             return null;
         }
         try {
-            return Cbor.decode(response.body());
+            return Cbor.decodeLeniently(response.body());
         } catch (MalformedMessageException e) {
             return null;
         }
--- a/src/test/java/org/gullway/coordination/model/TestFixtures.java
+++ b/src/test/java/org/gullway/coordination/model/TestFixtures.java
@@ -51,6 +51,11 @@
                 null);
     }
 
+    /** A shard that contains only a machine of this name, commanded by {@link #SELF}. */
+    public static MachineShard shard(String machine) {
+        return new MachineShard("g-" + machine, SELF, 1, List.of(machine(machine, "small", SELF)));
+    }
+
     /** An accepted best-effort job. */
     public static JobRecord job(String id) {
         return JobRecord.accepted(request(id, "red", Priority.NORMAL, 1, 1), SELF.node(), WALL_CLOCK_TIME);
--- a/src/test/java/org/gullway/protocol/CborTextScannerTest.java
+++ b/src/test/java/org/gullway/protocol/CborTextScannerTest.java
@@ -65,6 +65,24 @@
         }
     }
 
+    /** A lenient reader gets everything but the invalid texts; the keys next to an invalid key keep their values. */
+    @Test
+    void lenientDecodingKeepsTheRestOfTheBody() throws MalformedMessageException {
+        for (String sequence : InvalidTexts.SEQUENCES) {
+            ObjectNode invalidValue = Cbor.decodeLeniently(
+                    InvalidTexts.replacePlaceholder(bodyWith("key", InvalidTexts.PLACEHOLDER), sequence));
+            assertThat(invalidValue.path("list").path(1).path("key").isBinary()).isTrue();
+            assertThat(invalidValue.path("last").textValue()).isEqualTo("run-000001");
+            ObjectNode invalidKey = Cbor.decodeLeniently(
+                    InvalidTexts.replacePlaceholder(bodyWith(InvalidTexts.PLACEHOLDER, "value"), sequence));
+            assertThat(invalidKey.path("list").path(1).properties()).hasSize(1);
+            assertThat(invalidKey.path("text").textValue()).isEqualTo("Đồng Xanh 😀");
+        }
+        byte[] chunked = HexFormat.of().parseHex("a26178" + "7f" + "6161" + "63eda0bd" + "ff" + "6179" + "07");
+        assertThat(Cbor.decodeLeniently(chunked).path("x").isBinary()).isTrue();
+        assertThat(Cbor.decodeLeniently(chunked).path("y").intValue()).isEqualTo(7);
+    }
+
     /** The chunks of a text of indefinite length must be valid each. */
     @Test
     void chunkedTextsAreChecked() throws MalformedMessageException {
--- a/src/test/java/org/gullway/protocol/InvalidTexts.java
+++ b/src/test/java/org/gullway/protocol/InvalidTexts.java
@@ -31,22 +31,23 @@
 
     /** Returns the body with the placeholder replaced by the invalid sequence, filled up with spaces in front. */
     public static byte[] replacePlaceholder(byte[] body, String sequence) {
-        byte[] placeholder = PLACEHOLDER.getBytes(StandardCharsets.UTF_8);
-        byte[] invalid = HexFormat.of().parseHex(sequence);
-        int start = indexOf(body, placeholder);
-        byte[] changed = body.clone();
-        Arrays.fill(changed, start, start + placeholder.length, (byte) ' ');
-        System.arraycopy(invalid, 0, changed, start + placeholder.length - invalid.length, invalid.length);
+        byte[] changed = replacePlaceholders(body, sequence);
+        assertThat(changed).as("body with the placeholder replaced").isNotEqualTo(body);
         return changed;
     }
 
-    private static int indexOf(byte[] body, byte[] part) {
-        for (int i = 0; i + part.length <= body.length; i++) {
-            if (Arrays.equals(body, i, i + part.length, part, 0, part.length)) {
-                return i;
+    /** Returns the body with every placeholder replaced, if there are any. */
+    public static byte[] replacePlaceholders(byte[] body, String sequence) {
+        byte[] placeholder = PLACEHOLDER.getBytes(StandardCharsets.UTF_8);
+        byte[] invalid = HexFormat.of().parseHex(sequence);
+        byte[] changed = body.clone();
+        for (int start = 0; start + placeholder.length <= body.length; start++) {
+            int end = start + placeholder.length;
+            if (Arrays.equals(body, start, end, placeholder, 0, placeholder.length)) {
+                Arrays.fill(changed, start, end, (byte) ' ');
+                System.arraycopy(invalid, 0, changed, end - invalid.length, invalid.length);
             }
         }
-        assertThat(body).as("body with the placeholder").contains(part);
-        return -1;
+        return changed;
     }
 }
--- a/src/test/java/org/gullway/storage/ReplicatedStateTest.java
+++ b/src/test/java/org/gullway/storage/ReplicatedStateTest.java
@@ -7,6 +7,8 @@
 import java.time.Instant;
 import java.util.ArrayList;
 import java.util.List;
+import java.util.Map;
+import java.util.Set;
 import java.util.SplittableRandom;
 import net.jqwik.api.ForAll;
 import net.jqwik.api.Property;
@@ -15,11 +17,15 @@
 import org.gullway.coordination.model.ClusterState;
 import org.gullway.coordination.model.Incarnation;
 import org.gullway.coordination.model.StoreKeys;
+import org.gullway.coordination.model.StoreRecord;
 import org.gullway.coordination.model.TestFixtures;
 import org.gullway.coordination.model.Transaction;
 import org.gullway.fake.FakeStateStore;
+import org.gullway.fake.ForwardingExchange;
 import org.gullway.fake.SimulatedNetwork;
 import org.gullway.fake.SimulatedTime;
+import org.gullway.protocol.InvalidTexts;
+import org.gullway.transport.HttpExchange;
 import org.junit.jupiter.api.Test;
 
 /** Tests joining, lease renewal, watching and committing against a simulated state store. */
@@ -99,6 +105,63 @@
         assertThat(store.value(StoreKeys.job("run-000001"))).isNull();
     }
 
+    /**
+     * Guards against one record that makes all others unreadable: a text in it that is not valid UTF-8 made every full
+     * read and every watch response with it malformed.
+     */
+    @Test
+    void recordWithTextThatIsNotUtf8DoesNotHideOtherRecords() {
+        for (String sequence : InvalidTexts.SEQUENCES) {
+            ReplicatedStateTest test = new ReplicatedStateTest();
+            test.network.listen(
+                    STORE_ADDRESS,
+                    test.storeProcess,
+                    exchange -> test.store.handle(withInvalidTexts(exchange, sequence)));
+            test.putInStore(StoreKeys.shard("g-1"), TestFixtures.shard(InvalidTexts.PLACEHOLDER));
+            test.putInStore(StoreKeys.shard("g-2"), TestFixtures.shard("vm-000002"));
+            test.run(12);
+            assertThat(test.clusterState.shard("g-1")).as(sequence).isNull();
+            assertThat(test.clusterState.shard("g-2")).as(sequence).isNotNull();
+            assertThat(test.replicatedState.canCommit()).as(sequence).isTrue();
+            ClusterState restarted = test.restart();
+            assertThat(restarted.shard("g-1")).as(sequence).isNull();
+            assertThat(restarted.shard("g-2")).as(sequence).isNotNull();
+        }
+    }
+
+    private void putInStore(String key, StoreRecord value) {
+        new StateStoreClient(network.client("other", storeProcess), STORE_ADDRESS)
+                .commit(Set.of(), k -> 0, Map.of(key, value), 0, outcome -> {});
+    }
+
+    /** Starts another process of this controller and returns its cluster state after some seconds. */
+    private ClusterState restart() {
+        controllerProcess.kill();
+        ClusterState restartedState = new ClusterState();
+        SimulatedTime.SimulatedProcess process = time.newProcess();
+        new ReplicatedState(
+                        process,
+                        new StateStoreClient(network.client("perch-0", process), STORE_ADDRESS),
+                        restartedState,
+                        new Membership(new Incarnation(TestFixtures.SELF.node(), 99), Duration.ofSeconds(6)),
+                        new ReplicatedState.StoreRateLimits(30, 150, 3),
+                        Duration.ofSeconds(1),
+                        () -> {})
+                .start();
+        run(3);
+        return restartedState;
+    }
+
+    /** Returns an exchange whose response has the invalid sequence in place of each placeholder. */
+    private static HttpExchange withInvalidTexts(HttpExchange exchange, String sequence) {
+        return new ForwardingExchange(exchange) {
+            @Override
+            public void respond(int status, byte[] content) {
+                super.respond(status, InvalidTexts.replacePlaceholders(content, sequence));
+            }
+        };
+    }
+
     @Test
     void commitsStayWithinTheChangeRateLimit() {
         int sent = 0;
