A job lookup ends also if the state store's response is unreadable

JobReader took any response with status 200 for one with a body. A body that is not CBOR is null, and the exception (NullPointerException) left the read among those in progress. All later lookups of that job waited for it for good, so its users got no answer to submissions and cancellations from this controller, and 503 to queries.

Change: such a response fails the read, like any other failure; the users get 503 with Retry-After, and the next lookup reads again.

Test, which failed before the fix: JobLookupTest# unreadableResponseFailsTheLookupAndLaterLookupsAreServed (no outcome for either lookup).

--- a/src/main/java/org/gullway/api/JobReader.java
+++ b/src/main/java/org/gullway/api/JobReader.java
@@ -70,7 +70,7 @@
     private void readLiveRecord(Read read) {
         rateLimit.consume(1);
         store.get(StoreKeys.job(read.id()), outcome -> {
-            if (outcome.isOk()) {
+            if (outcome.isOkWithBody()) {
                 JobStatus status = statusOfRecord(read.id(), outcome.body().path("v"));
                 read.onResult().accept(found(read, status, outcome.revision()));
             } else if (outcome.isNotFound()) {
@@ -84,7 +84,7 @@
     private void readFinalState(Read read) {
         rateLimit.consume(1);
         store.get(StoreKeys.finalState(read.id()), outcome -> {
-            if (outcome.isOk()) {
+            if (outcome.isOkWithBody()) {
                 completeWithFinalState(read, outcome);
             } else if (outcome.isNotFound()) {
                 read.onResult().accept(new NotFound(read.id(), freshness(read, outcome.revision())));
--- a/src/main/java/org/gullway/storage/StateStoreClient.java
+++ b/src/main/java/org/gullway/storage/StateStoreClient.java
@@ -67,7 +67,7 @@
         }
 
         /** Returns true if the request was carried out and the response has a readable body. */
-        boolean isOkWithBody() {
+        public boolean isOkWithBody() {
             return isOk() && body != null;
         }
 
--- a/src/test/java/org/gullway/api/JobLookupTest.java
+++ b/src/test/java/org/gullway/api/JobLookupTest.java
@@ -1,6 +1,7 @@
 package org.gullway.api;
 
 import static org.assertj.core.api.Assertions.assertThat;
+import static org.assertj.core.api.Assertions.catchThrowable;
 
 import java.time.Duration;
 import java.util.ArrayList;
@@ -34,6 +35,7 @@
     private final JobLookup jobLookup = new JobLookup(loop, rateLimit, finalStates, reader);
     private final List<String> outcomes = new ArrayList<>();
     private boolean jobAccepted;
+    private boolean responsesAreUnreadable;
     private int storeRequests;
 
     JobLookupTest() {
@@ -43,6 +45,10 @@
     /** Responds after the latency, with the state that was current when the request arrived. */
     private void respondAfterLatency(HttpExchange exchange) {
         storeRequests++;
+        if (responsesAreUnreadable) {
+            loop.after(STORE_LATENCY, () -> exchange.respond(200, new byte[] {(byte) 0xff}));
+            return;
+        }
         boolean found = jobAccepted && exchange.path().startsWith("/store/live/jobs/");
         byte[] body = found ? Cbor.encode(Cbor.map().set("v", Cbor.map())) : new byte[0];
         loop.after(STORE_LATENCY, () -> exchange.respond(found ? 200 : 404, body));
@@ -76,6 +82,23 @@
         assertThat(outcomes).containsExactly("not found", "pending");
     }
 
+    /**
+     * Guards against lookups of a job that get no result for good: a response without a readable body left the read in
+     * progress, and all later lookups waited for it.
+     */
+    @Test
+    void unreadableResponseFailsTheLookupAndLaterLookupsAreServed() {
+        responsesAreUnreadable = true;
+        lookUp("run-000001");
+        // The event loop of a real process logs an exception and goes on.
+        Throwable thrown = catchThrowable(() -> advance(Duration.ofSeconds(2)));
+        responsesAreUnreadable = false;
+        lookUp("run-000001");
+        advance(Duration.ofSeconds(4));
+        assertThat(outcomes).containsExactly("failed", "not found");
+        assertThat(thrown).isNull();
+    }
+
     /**
      * Without shared reads each caller would cause a read, and without the rate limit all reads would be sent
      * immediately. The test looks up 20 jobs with 3 callers each; a read serves the 3 callers of a job and takes 2
