The watch goes on after an unforeseen exception

Only the response to a watch leads to the next watch, and only a complete full read to the first. An exception while a response was handled ended the sequence: the cluster state never changed again, was not fresh after 10 s, and the controller served nobody until its process ended.

Change: a record or removal that fails costs itself alone and is logged with its key; after any other exception the request is repeated.

Test, which failed before the fix: ReplicatedStateTest# watchGoesOnAfterAnExceptionInItsCallback (a record written 3 s after the exception is missing 12 s later). The exception is injected; no input that causes one in these places is known.

--- a/src/main/java/org/gullway/storage/WatchStream.java
+++ b/src/main/java/org/gullway/storage/WatchStream.java
@@ -122,7 +122,10 @@
         FullRead.Callback callback = new FullRead.Callback() {
             @Override
             public void onComplete(Map<String, JsonNode> items, long revision) {
-                onFullRead(readGeneration, sentAt, items, revision);
+                runOrRetry(
+                        readGeneration,
+                        () -> onFullRead(readGeneration, sentAt, items, revision),
+                        WatchStream.this::readAll);
             }
 
             @Override
@@ -135,7 +138,7 @@
 
     private void onFullRead(long readGeneration, Instant sentAt, Map<String, JsonNode> items, long revision) {
         clusterState.clear();
-        items.forEach(this::put);
+        items.forEach(this::putOrIgnore);
         clusterState.onFullRead(revision);
         synced = true;
         lastResponseAt = loop.now();
@@ -153,13 +156,27 @@
         loop.after(StateStoreClient.RETRY_DELAY, () -> runIfCurrent(readGeneration, action));
     }
 
+    /**
+     * Handles a response. Only a response leads to the next request, so after an unforeseen exception the request is
+     * repeated; otherwise the cluster state would never change again.
+     */
+    private void runOrRetry(long readGeneration, Runnable handler, Runnable request) {
+        try {
+            handler.run();
+        } catch (RuntimeException e) {
+            LOG.error("could not handle a response of the state store; repeating the request", e);
+            retry(readGeneration, request);
+        }
+    }
+
     private void runIfCurrent(long readGeneration, Runnable action) {
         if (isCurrent(readGeneration)) {
             action.run();
         }
     }
 
-    private void put(String key, JsonNode item) {
+    /** Puts a record into the cluster state. A record that fails, for whatever reason, must not hide the others. */
+    private void putOrIgnore(String key, JsonNode item) {
         try {
             StoreRecord value = RecordCodec.decode(key, item.path("v"));
             if (value != null) {
@@ -167,6 +184,8 @@
             }
         } catch (MalformedMessageException e) {
             LOG.error("ignored malformed record and kept any previous value error=\"{}\"", e.getMessage());
+        } catch (RuntimeException e) {
+            LOG.error("ignored a record that could not be put into the cluster state key={}", key, e);
         }
     }
 
@@ -179,7 +198,10 @@
             if (outcome.isGone()) {
                 readAll();
             } else if (outcome.isOkWithBody()) {
-                onWatchResponse(readGeneration, sentAt, afterRevision, outcome);
+                runOrRetry(
+                        readGeneration,
+                        () -> onWatchResponse(readGeneration, sentAt, afterRevision, outcome),
+                        () -> watch(readGeneration, afterRevision));
             } else {
                 retry(readGeneration, () -> watch(readGeneration, afterRevision));
             }
@@ -190,7 +212,7 @@
             long readGeneration, Instant sentAt, long afterRevision, StateStoreClient.Outcome outcome) {
         boolean changed = false;
         for (JsonNode event : outcome.body().path("events")) {
-            changed |= apply(event);
+            changed |= applyOrIgnore(event);
         }
         long revision = Math.max(afterRevision, outcome.revision());
         clusterState.advanceTo(revision);
@@ -211,12 +233,17 @@
         }
     }
 
-    private boolean apply(JsonNode event) {
+    private boolean applyOrIgnore(JsonNode event) {
         String removedKey = event.path("remove").asText(null);
-        if (removedKey != null) {
+        if (removedKey == null) {
+            putOrIgnore(event.path("put").asText(), event);
+            return true;
+        }
+        try {
             return clusterState.remove(removedKey, StateStoreClient.version(event));
+        } catch (RuntimeException e) {
+            LOG.error("ignored a removal that could not be applied key={}", removedKey, e);
+            return true;
         }
-        put(event.path("put").asText(), event);
-        return true;
     }
 }
--- a/src/test/java/org/gullway/storage/ReplicatedStateTest.java
+++ b/src/test/java/org/gullway/storage/ReplicatedStateTest.java
@@ -39,6 +39,7 @@
     private final ClusterState clusterState = new ClusterState();
     private final List<String> storeRequests = new ArrayList<>();
     private final ReplicatedState replicatedState;
+    private Runnable requestCycle = () -> {};
 
     ReplicatedStateTest() {
         network.listen(STORE_ADDRESS, storeProcess, exchange -> {
@@ -52,7 +53,7 @@
                 new Membership(TestFixtures.SELF, Duration.ofSeconds(6)),
                 new ReplicatedState.StoreRateLimits(30, 150, 3),
                 Duration.ofSeconds(1),
-                () -> {});
+                () -> requestCycle.run());
         replicatedState.start();
         run(1);
     }
@@ -162,6 +163,24 @@
         };
     }
 
+    /** Guards against a watch that ends for good with an unforeseen exception, since only a response leads to the next. */
+    @Test
+    void watchGoesOnAfterAnExceptionInItsCallback() {
+        run(2);
+        requestCycle = () -> {
+            requestCycle = () -> {};
+            throw new IllegalStateException("expected test failure");
+        };
+        putInStore(StoreKeys.shard("g-1"), TestFixtures.shard("vm-000001"));
+        // The event loop of a real process logs an exception and goes on.
+        Throwable thrown = catchThrowable(() -> run(3));
+        putInStore(StoreKeys.shard("g-2"), TestFixtures.shard("vm-000002"));
+        run(12);
+        assertThat(clusterState.shard("g-2")).isNotNull();
+        assertThat(replicatedState.canCommit()).isTrue();
+        assertThat(thrown).isNull();
+    }
+
     @Test
     void commitsStayWithinTheChangeRateLimit() {
         int sent = 0;
