A request to an invalid address is not sent, in place of an exception

For a text that is no address (a space, no port, a port above 65535) UndertowHttpClient.call threw.

What callers saw: the exception left the scheduling cycle in the middle of the commands that were due. The batches after it were never sent but counted as in flight for good, so their machines got no direct commands any more, and the rest of the cycle was skipped. In the client, the attempt kept its socket of the budget and blocked the address for good.

Change: such a call ends as "not sent", at once, and releases its socket. An exception while a request is written ends the call as "unknown" at once.

--- a/src/main/java/org/gullway/transport/UndertowHttpClient.java
+++ b/src/main/java/org/gullway/transport/UndertowHttpClient.java
@@ -16,6 +16,8 @@
 import java.nio.ByteBuffer;
 import java.util.Set;
 import java.util.function.Consumer;
+import org.slf4j.Logger;
+import org.slf4j.LoggerFactory;
 import org.xnio.ChannelListener;
 import org.xnio.IoUtils;
 import org.xnio.OptionMap;
@@ -24,6 +26,8 @@
 
 /** Sends requests over pooled connections, each with a timeout, all on the event loop. */
 public final class UndertowHttpClient implements HttpClient {
+    private static final Logger LOG = LoggerFactory.getLogger(UndertowHttpClient.class);
+
     private final XnioEventLoop loop;
     private final ByteBufferPool buffers;
     private final ConnectionPool<ClientConnection> connections;
@@ -82,32 +86,38 @@
         }
 
         private void connect() {
+            ClientCallback<ClientConnection> onConnected = new ClientCallback<>() {
+                @Override
+                public void completed(ClientConnection established) {
+                    onConnectEnded();
+                    established.addCloseListener(connections::onClosedByPeer);
+                    if (finished) {
+                        connections.putIdle(address, established);
+                    } else {
+                        send(established);
+                    }
+                }
+
+                @Override
+                public void failed(IOException e) {
+                    onConnectFailed();
+                }
+            };
             connecting = true;
-            UndertowClient.getInstance()
-                    .connect(
-                            new ClientCallback<>() {
-                                @Override
-                                public void completed(ClientConnection established) {
-                                    onConnectEnded();
-                                    established.addCloseListener(connections::onClosedByPeer);
-                                    if (finished) {
-                                        connections.putIdle(address, established);
-                                    } else {
-                                        send(established);
-                                    }
-                                }
-
-                                @Override
-                                public void failed(IOException e) {
-                                    onConnectEnded();
-                                    connections.onConnectFailed();
-                                    finish(HttpResponse.notSent());
-                                }
-                            },
-                            URI.create("http://" + address),
-                            loop.thread(),
-                            buffers,
-                            OptionMap.EMPTY);
+            try {
+                UndertowClient.getInstance()
+                        .connect(onConnected, URI.create("http://" + address), loop.thread(), buffers, OptionMap.EMPTY);
+            } catch (RuntimeException e) {
+                // Addresses of agents are texts that the agents send.
+                LOG.info("cannot connect to an address address=\"{}\" error=\"{}\"", address, e.toString());
+                onConnectFailed();
+            }
+        }
+
+        private void onConnectFailed() {
+            onConnectEnded();
+            connections.onConnectFailed();
+            finish(HttpResponse.notSent());
         }
 
         private void onConnectEnded() {
@@ -139,20 +149,19 @@
 
         private void send(ClientConnection established) {
             connection = established;
-            established.sendRequest(newClientRequest(), new ClientCallback<>() {
+            try {
+                established.sendRequest(newClientRequest(), onRequestStarted());
+            } catch (RuntimeException e) {
+                LOG.error("could not send a request address={} path={}", address, request.path(), e);
+                finish(HttpResponse.unknown());
+            }
+        }
+
+        private ClientCallback<ClientExchange> onRequestStarted() {
+            return new ClientCallback<>() {
                 @Override
                 public void completed(ClientExchange exchange) {
-                    exchange.setResponseListener(new ClientCallback<>() {
-                        @Override
-                        public void completed(ClientExchange completedExchange) {
-                            readResponse(completedExchange, completedExchange.getResponseChannel());
-                        }
-
-                        @Override
-                        public void failed(IOException e) {
-                            finish(HttpResponse.unknown());
-                        }
-                    });
+                    exchange.setResponseListener(onResponse());
                     if (request.body().length > 0) {
                         write(exchange.getRequestChannel(), ByteBuffer.wrap(request.body()));
                     }
@@ -162,7 +171,21 @@
                 public void failed(IOException e) {
                     finish(HttpResponse.unknown());
                 }
-            });
+            };
+        }
+
+        private ClientCallback<ClientExchange> onResponse() {
+            return new ClientCallback<>() {
+                @Override
+                public void completed(ClientExchange completedExchange) {
+                    readResponse(completedExchange, completedExchange.getResponseChannel());
+                }
+
+                @Override
+                public void failed(IOException e) {
+                    finish(HttpResponse.unknown());
+                }
+            };
         }
 
         private void write(StreamSinkChannel channel, ByteBuffer body) {
