The exception of one queued heartbeat no longer blocks all later ones

While heartbeats are queued (after a restart, or when processor time is short), only the end of one run of the queue schedules the next. An exception in the handling of one heartbeat left the run, the queue was never handled again, and since it was not empty every later heartbeat was queued too: after a lease every machine of the controller would have lost its tasks.

Change: the heartbeat is answered with 503, and the run goes on.

--- a/src/main/java/org/gullway/agent/HeartbeatAdmission.java
+++ b/src/main/java/org/gullway/agent/HeartbeatAdmission.java
@@ -8,6 +8,8 @@
 import org.gullway.transport.EventLoop;
 import org.gullway.transport.HttpExchange;
 import org.gullway.transport.HttpStatus;
+import org.slf4j.Logger;
+import org.slf4j.LoggerFactory;
 
 /**
  * Limits the share of the event loop's time that is spent on heartbeats, and queues the heartbeats that exceed it.
@@ -15,6 +17,7 @@
  * the state store, and with them every transaction, would wait until all these heartbeats are handled.
  */
 public final class HeartbeatAdmission {
+    private static final Logger LOG = LoggerFactory.getLogger(HeartbeatAdmission.class);
     private static final Duration MAX_BUDGET = Duration.ofMillis(20);
     private static final Duration QUEUE_CHECK_INTERVAL = Duration.ofMillis(10);
     /**
@@ -81,7 +84,13 @@
 
     private void handle(HttpExchange exchange) {
         Instant startedAt = loop.now();
-        handler.accept(exchange);
+        try {
+            handler.accept(exchange);
+        } catch (RuntimeException e) {
+            // Must not leave handleQueued, since only its end schedules its next run.
+            LOG.error("could not handle a heartbeat", e);
+            exchange.reject(HttpStatus.SERVICE_UNAVAILABLE, RETRY_AFTER);
+        }
         budgetRefilledAt = loop.now();
         budget = budget.minus(Duration.between(startedAt, budgetRefilledAt));
     }
--- a/src/test/java/org/gullway/agent/HeartbeatAdmissionTest.java
+++ b/src/test/java/org/gullway/agent/HeartbeatAdmissionTest.java
@@ -1,6 +1,7 @@
 package org.gullway.agent;
 
 import static org.assertj.core.api.Assertions.assertThat;
+import static org.assertj.core.api.Assertions.catchThrowable;
 
 import java.time.Duration;
 import java.time.Instant;
@@ -41,6 +42,33 @@
         }
     }
 
+    /**
+     * Guards against a queue that is never handled again: the exception of one queued heartbeat ended the handling of
+     * the queue, and with it of all later heartbeats.
+     */
+    @Test
+    void exceptionOfAQueuedHeartbeatIsAnsweredAndTheOthersAreHandled() {
+        HeartbeatAdmission admission = new HeartbeatAdmission(loop, exchange -> {
+            time.advance(Duration.ofMillis(15));
+            handled++;
+            if (handled == 3) {
+                throw new IllegalStateException("expected test failure");
+            }
+            exchange.respond(HttpStatus.OK, new byte[0]);
+        });
+        for (int i = 0; i < 10; i++) {
+            admission.admit(heartbeat());
+        }
+        // The event loop of a real process logs an exception and goes on.
+        Throwable thrown = catchThrowable(() -> time.runUntil(Instant.EPOCH.plusSeconds(2)));
+        time.runUntil(Instant.EPOCH.plusSeconds(3));
+        admission.admit(heartbeat());
+        time.runUntil(Instant.EPOCH.plusSeconds(4));
+        assertThat(handled).isEqualTo(11);
+        assertThat(responses).hasSize(11).containsOnlyOnce(HttpStatus.SERVICE_UNAVAILABLE);
+        assertThat(thrown).isNull();
+    }
+
     /**
      * Without a limit, 1000 heartbeats that arrive simultaneously would occupy the event loop for 3 s, and all other
      * tasks would wait behind them.
