Commands that cannot be encoded no longer block those to other machines

A batch that could not be encoded threw instead: the batches planned after it were never sent, and all of them counted as in flight for good. While no controller reaches the state store this concerns the stops of cancelled tasks, which then run on beyond `cancel_s`.

Job ids reach these batches from users, from stored records, and from peers, whose messages allow half of a surrogate pair in a text.

Change: such a batch ends as "not sent" and is planned again like any other.

Test, which failed before the fix: CommandSenderTest# batchThatCannotBeEncodedDoesNotBlockStopsOnOtherMachines (none of 40 batches to other machines was sent).

--- a/src/main/java/org/gullway/agent/CommandSender.java
+++ b/src/main/java/org/gullway/agent/CommandSender.java
@@ -85,13 +85,25 @@
                         cancellationEnforcer::onDirectStopResponse));
     }
 
+    /**
+     * Sends a batch. Until its outcome, the machine gets no other batch, so there is an outcome in any case: a batch
+     * that cannot be encoded was not sent.
+     */
     private void send(CommandBatch plannedBatch, Consumer<CommandOutcome> onOutcome, Consumer<Heartbeat> onResponse) {
-        CommandBatch batch = startGate.withoutDeniedStarts(plannedBatch);
+        CommandBatch batch;
+        byte[] body;
+        try {
+            batch = startGate.withoutDeniedStarts(plannedBatch);
+            body = AgentCommand.encodeDirect(batch.fencingToken(), batch.agentEpoch(), batch.commands());
+        } catch (RuntimeException e) {
+            LOG.error("could not encode commands and did not send them machine={}", plannedBatch.machine(), e);
+            onOutcome.accept(CommandOutcome.NOT_SENT);
+            return;
+        }
         if (LOG.isDebugEnabled() && !batch.commands().isEmpty()) {
             logCommands(batch);
         }
         metrics.commandBatchSent();
-        byte[] body = AgentCommand.encodeDirect(batch.fencingToken(), batch.agentEpoch(), batch.commands());
         httpClient.call(batch.address(), HttpRequest.post(PATH, body, TIMEOUT), response -> {
             CommandOutcome outcome = outcomeOf(response);
             onOutcome.accept(outcome);
