An exception in one step of a scheduling cycle costs that step alone

The planning steps were separated already; the rest of the cycle was not: answers to pending requests, the commands to each machine, completions for each peer, the transaction, and the periodic tasks (cloud, evictions, the request of the next cycle). A state that causes the exception again causes it in every cycle. In the commands, the batches after the exception were never sent but counted as in flight for good.

Change: each of these runs on its own, each command batch, each peer and each machine for which commands are planned too. The exception is logged with the name of the step.

Test, which failed before the fix: FaultsTest# exceptionOfACommandToOneMachineDoesNotAffectOtherMachines. Calls to one agent throw; jobs bound to the other zone, on other machines, were not done after 60 s. The stand-in of the network can throw on calls for it.

--- a/src/main/java/org/gullway/cloud/CloudProvisioner.java
+++ b/src/main/java/org/gullway/cloud/CloudProvisioner.java
@@ -4,6 +4,7 @@
 import java.time.InstantSource;
 import java.util.List;
 import java.util.Set;
+import org.gullway.coordination.cycle.ErrorIsolation;
 import org.gullway.coordination.cycle.PlanningContext;
 import org.gullway.coordination.cycle.PlanningStep;
 import org.gullway.coordination.model.ClusterState;
@@ -64,12 +65,16 @@
      */
     public void reconcile(boolean leader) {
         Instant now = loop.now();
-        typeRefresh.refresh(now);
+        ErrorIsolation.run("machine_types", () -> typeRefresh.refresh(now));
         if (!leader || machineTypes.isEmpty()) {
             return;
         }
-        listing.refresh(now);
-        releaser.releaseUnneeded();
+        ErrorIsolation.run("machine_listing", () -> listing.refresh(now));
+        ErrorIsolation.run("machine_release", releaser::releaseUnneeded);
+        ErrorIsolation.run("scale_out", () -> planScaleOut(now));
+    }
+
+    private void planScaleOut(Instant now) {
         // Machines that a former leader provisioned but did not record appear only in the provider's list. Until this
         // controller has fetched a complete list, planning would provision duplicates of them.
         if (listing.isCompletedOnce() && scaleOutExecutor.isPlanningDue(now)) {
--- a/src/main/java/org/gullway/controller/Controller.java
+++ b/src/main/java/org/gullway/controller/Controller.java
@@ -7,6 +7,8 @@
 import java.util.function.Consumer;
 import java.util.random.RandomGenerator;
 import org.gullway.coordination.agents.CompletionBuffer;
+import org.gullway.coordination.command.CommandBatch;
+import org.gullway.coordination.cycle.ErrorIsolation;
 import org.gullway.coordination.model.ClusterState;
 import org.gullway.coordination.model.Incarnation;
 import org.gullway.coordination.model.StoreKeys;
@@ -168,27 +170,32 @@
     }
 
     private void tick() {
-        fleet.cloudProvisioner().reconcile(isRecordedLeader() && replicatedState.holdsValidLease());
-        agents.reconciler().evictStaleAgents(loop.now());
-        scheduling.backoff().retainJobsOf(clusterState);
+        boolean leader = isRecordedLeader() && replicatedState.holdsValidLease();
+        ErrorIsolation.run("cloud", () -> fleet.cloudProvisioner().reconcile(leader));
+        ErrorIsolation.run("agent_eviction", () -> agents.reconciler().evictStaleAgents(loop.now()));
+        ErrorIsolation.run("backoff_eviction", () -> scheduling.backoff().retainJobsOf(clusterState));
         cycleThrottle.requestCycle();
     }
 
+    /**
+     * Runs one scheduling cycle. An unforeseen exception costs the step that throws it, for the same state may cause it
+     * again in every cycle.
+     */
     private void runCycle() {
         Instant startedAt = loop.now();
-        requests.userApi().completePending();
+        ErrorIsolation.run("pending_user_requests", requests.userApi()::completePending);
         agents.reconciler().onLeaseStatus(replicatedState.holdsValidLease(), startedAt);
         if (!replicatedState.holdsValidLease()) {
             if (hasHeldValidLease) {
-                messaging.peerExchange().pollPeersIfDue(startedAt);
+                ErrorIsolation.run("peer_poll", () -> messaging.peerExchange().pollPeersIfDue(startedAt));
                 enforceCancellations(startedAt);
             }
             return;
         }
-        onCycleWithValidLease(startedAt);
+        ErrorIsolation.run("valid_lease", () -> onCycleWithValidLease(startedAt));
         sendDueMessages(startedAt);
         if (replicatedState.canCommit()) {
-            schedulingCycle.run(startedAt);
+            ErrorIsolation.run("transaction", () -> schedulingCycle.run(startedAt));
         }
         Duration elapsed = Duration.between(startedAt, loop.now());
         cycleThrottle.startPause(elapsed);
@@ -207,9 +214,22 @@
     }
 
     private void sendDueMessages(Instant now) {
-        agents.reconciler().commandsDue(now).forEach(messaging.commandSender()::send);
+        ErrorIsolation.run("commands", () -> sendDueCommands(now));
+        ErrorIsolation.run("peer_completions", this::sendCompletions);
+    }
+
+    private void sendDueCommands(Instant now) {
+        for (CommandBatch batch : agents.reconciler().commandsDue(now)) {
+            ErrorIsolation.run("command_batch", () -> messaging.commandSender().send(batch));
+        }
+    }
+
+    private void sendCompletions() {
         PeerExchange peerExchange = messaging.peerExchange();
-        agents.reconciler().drainCompletions().forEach(peerExchange::sendCompletions);
+        agents.reconciler()
+                .drainCompletions()
+                .forEach((peer, completions) -> ErrorIsolation.run(
+                        "completions_to_peer", () -> peerExchange.sendCompletions(peer, completions)));
     }
 
     /**
@@ -219,7 +239,11 @@
      * store.
      */
     private void enforceCancellations(Instant now) {
-        messaging.commandSender().sendCancellationStops(now);
+        ErrorIsolation.run("cancellation_stops", () -> messaging.commandSender().sendCancellationStops(now));
+        ErrorIsolation.run("cancellation_releases", this::releaseMachinesWithOverdueCancellations);
+    }
+
+    private void releaseMachinesWithOverdueCancellations() {
         Instant wallClockTime = environment.wallClockTime().instant();
         fleet.cloudProvisioner()
                 .releaseWithoutRecord(agents.cancellationEnforcer().machinesToRelease(wallClockTime));
--- a/src/main/java/org/gullway/coordination/agents/CommandDispatcher.java
+++ b/src/main/java/org/gullway/coordination/agents/CommandDispatcher.java
@@ -7,6 +7,7 @@
 import java.util.Optional;
 import org.gullway.coordination.command.CommandBatch;
 import org.gullway.coordination.command.CommandOutcome;
+import org.gullway.coordination.cycle.ErrorIsolation;
 import org.gullway.coordination.model.ClusterState;
 import org.gullway.coordination.model.MachineRecord;
 import org.gullway.protocol.AgentCommand;
@@ -66,7 +67,9 @@
             AgentState agent = agents.find(name);
             if (agent != null && agent.isDue(now)) {
                 agent.onReconciliation();
-                reconcile(clusterState.machine(name), agent, now).ifPresent(batches::add);
+                // The batches before count as in flight, so an exception must not keep them from being returned.
+                ErrorIsolation.run("command_planning", () -> reconcile(clusterState.machine(name), agent, now)
+                        .ifPresent(batches::add));
             }
         }
         return batches;
--- a/src/main/java/org/gullway/coordination/cycle/CycleSteps.java
+++ b/src/main/java/org/gullway/coordination/cycle/CycleSteps.java
@@ -82,10 +82,6 @@
     }
 
     private static void run(Step step) {
-        try {
-            step.action().run();
-        } catch (RuntimeException e) {
-            LOG.error("scheduling cycle step failed step={}", step.name(), e);
-        }
+        ErrorIsolation.run(step.name(), step.action());
     }
 }
--- a/src/test/java/org/gullway/FaultsTest.java
+++ b/src/test/java/org/gullway/FaultsTest.java
@@ -1,17 +1,21 @@
 package org.gullway;
 
 import static org.assertj.core.api.Assertions.assertThat;
+import static org.assertj.core.api.Assertions.catchThrowable;
 import static org.gullway.FaultScenarios.assertFinishesWithin;
 import static org.gullway.FaultScenarios.clusterWithGuestTeam;
 import static org.gullway.FaultScenarios.submitInBothTeams;
 
 import java.time.Duration;
+import java.time.Instant;
+import java.util.ArrayList;
 import java.util.List;
 import net.jqwik.api.ForAll;
 import net.jqwik.api.Property;
 import net.jqwik.api.constraints.IntRange;
 import org.gullway.fake.FakeAgent;
 import org.gullway.protocol.Priority;
+import org.junit.jupiter.api.Test;
 
 /**
  * Scenarios with a fixed sequence of faults, or with extreme load, at times that vary with the seed.
@@ -55,6 +59,53 @@
                 .isNull();
     }
 
+    /**
+     * Guards against an unforeseen exception that costs the whole scheduling cycle. The exception is that of a call to
+     * one agent; the commands to other machines that are due in the same cycle must be sent nevertheless.
+     */
+    @Test
+    void exceptionOfACommandToOneMachineDoesNotAffectOtherMachines() {
+        SimulatedCluster cluster = clusterWithJobs(1);
+        cluster.run(Duration.ofSeconds(60));
+        List<FakeAgent> agents = cluster.cloud.agents();
+        FakeAgent unreachable = agents.get(0);
+        cluster.network.throwOnCalls(unreachable.address());
+        String otherZone = unreachable.kind().zone().equals("a") ? "b" : "a";
+        List<TestUser> inOtherZone = new ArrayList<>();
+        for (int i = 0; i < 6; i++) {
+            cluster.submit(
+                    20 + i,
+                    "blue",
+                    Priority.HIGH,
+                    3,
+                    4,
+                    Duration.ofSeconds(5),
+                    inZone(unreachable.kind().zone()));
+            inOtherZone.add(
+                    cluster.submit(30 + i, "red", Priority.HIGH, 2, 4, Duration.ofSeconds(5), inZone(otherZone)));
+        }
+        int exceptions = runPastExceptions(cluster, Duration.ofSeconds(60));
+        assertThat(inOtherZone).allSatisfy(user -> assertThat(cluster.invariants.reportedState(user.request.id()))
+                .isEqualTo("done"));
+        assertThat(exceptions).as("exceptions that reached the event loop").isZero();
+    }
+
+    private static SimulatedCluster.JobConstraints inZone(String zone) {
+        return new SimulatedCluster.JobConstraints(null, zone, false, false, true);
+    }
+
+    /** Runs the cluster, whose event loops go on after an exception like those of real processes. */
+    private static int runPastExceptions(SimulatedCluster cluster, Duration span) {
+        Instant end = cluster.time.now().plus(span);
+        int exceptions = 0;
+        while (cluster.time.now().isBefore(end)) {
+            if (catchThrowable(() -> cluster.time.runUntil(end)) != null) {
+                exceptions++;
+            }
+        }
+        return exceptions;
+    }
+
     /**
      * Copies of heartbeats arrive up to three lease durations late. All controllers have restarted in between, so they
      * do not know of any newer heartbeats.
