Texts of peers with half of a surrogate pair are malformed

Offers, completions and cancellations with such a name or id were accepted; a job id among the cancellations becomes a command that cannot be encoded. The peer's message is now answered with 400, or ignored if it is a response.

Test, which failed before the fix: FormatsTest# peerMessagesWithHalfOfASurrogatePairAreRejected (no exception).

--- a/src/main/java/org/gullway/protocol/AttemptCompletion.java
+++ b/src/main/java/org/gullway/protocol/AttemptCompletion.java
@@ -45,7 +45,7 @@
         int count = PeerMessages.readCount(in, MAX_PER_MESSAGE, CONTENT);
         List<AttemptCompletion> completions = new ArrayList<>(count);
         for (int i = 0; i < count; i++) {
-            TaskId task = new TaskId(in.readUTF(), in.readInt());
+            TaskId task = new TaskId(PeerMessages.readText(in), in.readInt());
             completions.add(new AttemptCompletion(task, in.readLong(), in.readByte()));
         }
         return completions;
--- a/src/main/java/org/gullway/protocol/PeerCancellations.java
+++ b/src/main/java/org/gullway/protocol/PeerCancellations.java
@@ -61,11 +61,11 @@
         return PeerMessages.decode(body, VERSION, KNOWN_CONTENT, PeerCancellations::readJobIds);
     }
 
-    private static Set<String> readJobIds(DataInputStream in) throws IOException {
+    private static Set<String> readJobIds(DataInputStream in) throws IOException, MalformedMessageException {
         int count = in.readUnsignedShort();
         Set<String> jobs = new HashSet<>();
         for (int i = 0; i < count; i++) {
-            jobs.add(in.readUTF());
+            jobs.add(PeerMessages.readText(in));
         }
         return jobs;
     }
@@ -125,7 +125,7 @@
     }
 
     private static PeerCancellations readResponse(DataInputStream in) throws IOException, MalformedMessageException {
-        String node = in.readUTF();
+        String node = PeerMessages.readText(in);
         long incarnationNumber = in.readLong();
         boolean complete = in.readBoolean();
         int count = in.readUnsignedShort();
@@ -137,7 +137,7 @@
     }
 
     private static CancelledJob readJob(DataInputStream in) throws IOException, MalformedMessageException {
-        String id = in.readUTF();
+        String id = PeerMessages.readText(in);
         long cancelledAt = in.readLong();
         int count = in.readInt();
         if (count < 0 || count > MAX_ATTEMPTS) {
@@ -146,7 +146,7 @@
         }
         List<CancelledAttempt> attempts = new ArrayList<>();
         for (int i = 0; i < count; i++) {
-            attempts.add(new CancelledAttempt(in.readInt(), in.readLong(), in.readUTF(), in.readLong()));
+            attempts.add(new CancelledAttempt(in.readInt(), in.readLong(), PeerMessages.readText(in), in.readLong()));
         }
         return new CancelledJob(id, cancelledAt, List.copyOf(attempts));
     }
--- a/src/main/java/org/gullway/protocol/PeerMessages.java
+++ b/src/main/java/org/gullway/protocol/PeerMessages.java
@@ -54,6 +54,18 @@
         }
     }
 
+    /**
+     * Reads a text. The format of {@link DataInputStream#readUTF} also allows halves of surrogate pairs, which no other
+     * message or record can contain.
+     */
+    static String readText(DataInputStream in) throws IOException, MalformedMessageException {
+        String text = in.readUTF();
+        if (!MessageFields.isEncodable(text)) {
+            throw new MalformedMessageException("a text with half of a surrogate pair");
+        }
+        return text;
+    }
+
     /** Reads the number of items and checks it against the limit. */
     static int readCount(DataInputStream in, int max, String content) throws IOException, MalformedMessageException {
         int count = in.readUnsignedShort();
--- a/src/main/java/org/gullway/protocol/ResourceOffer.java
+++ b/src/main/java/org/gullway/protocol/ResourceOffer.java
@@ -59,7 +59,7 @@
     }
 
     private static ResourceOffer read(DataInputStream in) throws IOException, MalformedMessageException {
-        String machine = in.readUTF();
+        String machine = PeerMessages.readText(in);
         long agentEpoch = in.readLong();
         int count = in.readUnsignedByte();
         if (count > MAX_DECLINES) {
@@ -68,7 +68,7 @@
         }
         List<String> names = new ArrayList<>(count);
         for (int i = 0; i < count; i++) {
-            names.add(in.readUTF());
+            names.add(PeerMessages.readText(in));
         }
         return new ResourceOffer(machine, agentEpoch, List.copyOf(names));
     }
--- a/src/test/java/org/gullway/protocol/FormatsTest.java
+++ b/src/test/java/org/gullway/protocol/FormatsTest.java
@@ -20,6 +20,7 @@
 import net.jqwik.api.Provide;
 import net.jqwik.api.constraints.IntRange;
 import net.jqwik.api.constraints.Size;
+import org.assertj.core.api.ThrowableAssert;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.CsvSource;
@@ -230,6 +231,36 @@
                 .isTrue();
     }
 
+    /**
+     * Guards against a text of a peer that is sent on or stored although it cannot be encoded, such as a job id in the
+     * stops of cancelled tasks.
+     */
+    @Test
+    void peerMessagesWithHalfOfASurrogatePairAreRejected() {
+        String text = "x\uD83D";
+        assertMalformed(
+                () -> ResourceOffer.decode(ResourceOffer.encode(List.of(new ResourceOffer(text, 1, List.of())))));
+        assertMalformed(
+                () -> ResourceOffer.decode(ResourceOffer.encode(List.of(new ResourceOffer("vm-1", 1, List.of(text))))));
+        assertMalformed(() -> AttemptCompletion.decode(
+                AttemptCompletion.encode(List.of(new AttemptCompletion(new TaskId(text, 0), 1, (byte) 0)))));
+        assertMalformed(() -> PeerCancellations.decodeKnownJobs(PeerCancellations.encodeKnownJobs(List.of(text))));
+        assertMalformed(() -> PeerCancellations.decode(PeerCancellations.encode(text, 1, List.of())));
+        assertMalformed(() ->
+                PeerCancellations.decode(PeerCancellations.encode("perch-1", 1, List.of(cancelledJob(text, "vm-1")))));
+        assertMalformed(() ->
+                PeerCancellations.decode(PeerCancellations.encode("perch-1", 1, List.of(cancelledJob("run-1", text)))));
+    }
+
+    private static PeerCancellations.CancelledJob cancelledJob(String id, String machine) {
+        return new PeerCancellations.CancelledJob(
+                id, 1, List.of(new PeerCancellations.CancelledAttempt(0, 1, machine, 1)));
+    }
+
+    private static void assertMalformed(ThrowableAssert.ThrowingCallable decoding) {
+        assertThatThrownBy(decoding).isInstanceOf(MalformedMessageException.class);
+    }
+
     private static final String SETTINGS =
             """
             node_name = "perch-0"
