A malformed item in a list of the cloud provider costs itself alone

A machine type whose name holds half of a surrogate pair was accepted; a request for such machines cannot be encoded, and its exception left it among the pending requests, so that nothing was provisioned any more. One item that is malformed otherwise made the whole list malformed: without types nothing is accepted, and without a list a new leader provisions nothing.

Change: lists are decoded leniently, and a malformed type or machine is left out and logged. A page of which nothing is left does not complete the list.

GoldenMessagesTest passes the new argument and fails on every malformed item.

--- a/src/main/java/org/gullway/cloud/CloudClient.java
+++ b/src/main/java/org/gullway/cloud/CloudClient.java
@@ -41,7 +41,7 @@
 
     @FunctionalInterface
     private interface Decoder<T> {
-        T decode(byte[] body) throws MalformedMessageException;
+        T decode(byte[] body, Consumer<String> onMalformedItem) throws MalformedMessageException;
     }
 
     /** Takes a token of the rate limit for one request. Returns false if there is none. */
@@ -80,7 +80,9 @@
             return Optional.empty();
         }
         try {
-            return Optional.of(decoder.decode(response.body()));
+            return Optional.of(decoder.decode(
+                    response.body(),
+                    error -> LOG.error("ignored a malformed item of cloud provider path={} error={}", path, error)));
         } catch (MalformedMessageException e) {
             LOG.error("malformed response from cloud provider path={} error={}", path, e.getMessage());
             return Optional.empty();
--- a/src/main/java/org/gullway/cloud/MachineListing.java
+++ b/src/main/java/org/gullway/cloud/MachineListing.java
@@ -53,7 +53,11 @@
         }
         CloudMessages.Page page = response.get();
         machines.addAll(page.machines());
-        if (page.more() && !page.machines().isEmpty()) {
+        if (page.more() && page.machines().isEmpty()) {
+            // The next page begins after a machine of this one, so without any the list cannot be completed.
+            return;
+        }
+        if (page.more()) {
             fetchPage(page.machines().get(page.machines().size() - 1).name(), machines);
         } else {
             completedOnce = true;
--- a/src/main/java/org/gullway/protocol/CloudMessages.java
+++ b/src/main/java/org/gullway/protocol/CloudMessages.java
@@ -6,6 +6,7 @@
 import java.time.Duration;
 import java.util.ArrayList;
 import java.util.List;
+import java.util.function.Consumer;
 
 /** Encodes requests to the cloud provider and decodes its responses. */
 public final class CloudMessages {
@@ -34,24 +35,49 @@
     /** One page of the machine list. */
     public record Page(List<ListedMachine> machines, boolean more) {}
 
-    /** Decodes the machine types that the provider offers. A type that lists no zones is offered in no zone. */
-    public static List<MachineType> decodeTypes(byte[] body) throws MalformedMessageException {
-        List<MachineType> types = new ArrayList<>();
-        for (MessageFields type : MessageFields.of(Cbor.decode(body)).list("breeds")) {
-            List<String> zones = type.textsOrNull("shores");
-            types.add(new MachineType(
-                    type.text("name"),
-                    type.positive("cpus"),
-                    type.has("cards") ? type.amount("cards") : 0,
-                    type.amount("mem_gb"),
-                    type.amount("local_gb"),
-                    type.positive("pull_gb_per_s"),
-                    type.amount("price"),
-                    type.amount("low_price"),
-                    type.seconds("startup_s"),
-                    zones == null ? List.of() : zones));
+    /** Decodes one item of a list. */
+    private interface ItemDecoder<T> {
+        T decode(MessageFields item) throws MalformedMessageException;
+    }
+
+    /** Decodes the items of a list. A malformed item is left out and its error reported, so that it costs no other. */
+    private static <T> List<T> decodeItems(
+            JsonNode map, String list, ItemDecoder<T> decoder, Consumer<String> onMalformedItem)
+            throws MalformedMessageException {
+        List<T> items = new ArrayList<>();
+        for (MessageFields item : MessageFields.of(map).list(list)) {
+            try {
+                items.add(decoder.decode(item));
+            } catch (MalformedMessageException e) {
+                onMalformedItem.accept(e.getMessage());
+            }
         }
-        return types;
+        return items;
+    }
+
+    /**
+     * Decodes the machine types that the provider offers. A type that lists no zones is offered in no zone.
+     *
+     * @param onMalformedItem receives the error of each type that is left out because it is malformed
+     */
+    public static List<MachineType> decodeTypes(byte[] body, Consumer<String> onMalformedItem)
+            throws MalformedMessageException {
+        return decodeItems(Cbor.decodeLeniently(body), "breeds", CloudMessages::decodeType, onMalformedItem);
+    }
+
+    private static MachineType decodeType(MessageFields type) throws MalformedMessageException {
+        List<String> zones = type.textsOrNull("shores");
+        return new MachineType(
+                type.text("name"),
+                type.positive("cpus"),
+                type.has("cards") ? type.amount("cards") : 0,
+                type.amount("mem_gb"),
+                type.amount("local_gb"),
+                type.positive("pull_gb_per_s"),
+                type.amount("price"),
+                type.amount("low_price"),
+                type.seconds("startup_s"),
+                zones == null ? List.of() : zones);
     }
 
     /**
@@ -83,22 +109,27 @@
         return Cbor.encode(node);
     }
 
-    /** Decodes one page of the list of provisioned machines. */
-    public static Page decodePage(byte[] body) throws MalformedMessageException {
-        JsonNode map = Cbor.decode(body);
-        List<ListedMachine> machines = new ArrayList<>();
-        for (MessageFields item : MessageFields.of(map).list("perches")) {
-            String state = item.text("tide");
-            machines.add(new ListedMachine(
-                    item.text("name_id"),
-                    item.textOrNull("endpoint"),
-                    item.text("breed"),
-                    item.text("shore"),
-                    item.flag("driftwood"),
-                    "failed".equals(state),
-                    "booting".equals(state),
-                    item.seconds("held_s")));
-        }
+    /**
+     * Decodes one page of the list of provisioned machines.
+     *
+     * @param onMalformedItem receives the error of each machine that is left out because it is malformed
+     */
+    public static Page decodePage(byte[] body, Consumer<String> onMalformedItem) throws MalformedMessageException {
+        JsonNode map = Cbor.decodeLeniently(body);
+        List<ListedMachine> machines = decodeItems(map, "perches", CloudMessages::decodeMachine, onMalformedItem);
         return new Page(machines, map.path("more").asBoolean());
     }
+
+    private static ListedMachine decodeMachine(MessageFields machine) throws MalformedMessageException {
+        String state = machine.text("tide");
+        return new ListedMachine(
+                machine.text("name_id"),
+                machine.textOrNull("endpoint"),
+                machine.text("breed"),
+                machine.text("shore"),
+                machine.flag("driftwood"),
+                "failed".equals(state),
+                "booting".equals(state),
+                machine.seconds("held_s"));
+    }
 }
--- a/src/test/java/org/gullway/protocol/GoldenMessagesTest.java
+++ b/src/test/java/org/gullway/protocol/GoldenMessagesTest.java
@@ -9,6 +9,7 @@
 import java.util.LinkedHashSet;
 import java.util.List;
 import org.gullway.golden.GoldenFile;
+import org.junit.jupiter.api.Assertions;
 import org.junit.jupiter.api.Test;
 
 /**
@@ -192,7 +193,7 @@
         breeds.add(least);
         GOLDEN.check("types", Cbor.encode(types));
         List<String> lines = new ArrayList<>();
-        for (MachineType type : CloudMessages.decodeTypes(GOLDEN.bytes("types"))) {
+        for (MachineType type : CloudMessages.decodeTypes(GOLDEN.bytes("types"), Assertions::fail)) {
             lines.add(GoldenFile.line(
                     type.name(),
                     type.cpus(),
@@ -229,7 +230,7 @@
         ((ObjectNode) perches.get(0)).remove("endpoint");
         page.put("more", true);
         GOLDEN.check("page", Cbor.encode(page));
-        CloudMessages.Page read = CloudMessages.decodePage(GOLDEN.bytes("page"));
+        CloudMessages.Page read = CloudMessages.decodePage(GOLDEN.bytes("page"), Assertions::fail);
         List<String> lines = new ArrayList<>(List.of(GoldenFile.line(read.more())));
         for (CloudMessages.ListedMachine machine : read.machines()) {
             lines.add(GoldenFile.line(
