--- a/src/test/java/org/gullway/FaultsTest.java
+++ b/src/test/java/org/gullway/FaultsTest.java
@@ -14,7 +14,10 @@
 import net.jqwik.api.Property;
 import net.jqwik.api.constraints.IntRange;
 import org.gullway.fake.FakeAgent;
+import org.gullway.fake.SimulatedNetwork;
 import org.gullway.protocol.Priority;
+import org.gullway.transport.HttpRequest;
+import org.gullway.transport.HttpResponse;
 import org.junit.jupiter.api.Test;
 
 /**
@@ -69,7 +72,7 @@
         cluster.run(Duration.ofSeconds(60));
         List<FakeAgent> agents = cluster.cloud.agents();
         FakeAgent unreachable = agents.get(0);
-        cluster.network.throwOnCalls(unreachable.address());
+        cluster.network.observe(throwingOnCallsTo(unreachable.address()));
         String otherZone = unreachable.kind().zone().equals("a") ? "b" : "a";
         List<TestUser> inOtherZone = new ArrayList<>();
         for (int i = 0; i < 6; i++) {
@@ -90,6 +93,21 @@
         assertThat(exceptions).as("exceptions that reached the event loop").isZero();
     }
 
+    /** A listener that throws when a request to the address is sent, so that the call of the HTTP client throws. */
+    private static SimulatedNetwork.TrafficListener throwingOnCallsTo(String throwingAddress) {
+        return new SimulatedNetwork.TrafficListener() {
+            @Override
+            public void sent(String from, String address, HttpRequest request) {
+                if (address.equals(throwingAddress)) {
+                    throw new IllegalStateException("expected test failure of a call to " + address);
+                }
+            }
+
+            @Override
+            public void completed(String from, String address, HttpResponse response) {}
+        };
+    }
+
     private static SimulatedCluster.JobConstraints inZone(String zone) {
         return new SimulatedCluster.JobConstraints(null, zone, false, false, true);
     }
--- a/src/test/java/org/gullway/fake/SimulatedNetwork.java
+++ b/src/test/java/org/gullway/fake/SimulatedNetwork.java
@@ -75,7 +75,6 @@
     private final NetworkPartitions partitions = new NetworkPartitions();
     private TrafficListener trafficListener = TrafficListener.NONE;
 
-    private final Set<String> throwingAddresses = new HashSet<>();
     private final Set<String> heldClients = new HashSet<>();
     private final List<Delivery> heldRequests = new ArrayList<>();
     private LateCopies lateCopies = LateCopies.NONE;
@@ -202,17 +201,9 @@
         delayedRequests = new PathFault(share, path);
     }
 
-    /** Makes every call to this address throw, as by a defect of the client. Such a call has no outcome. */
-    public void throwOnCalls(String address) {
-        throwingAddresses.add(address);
-    }
-
     /** Returns a client with this name whose callbacks run in the process. */
     public HttpClient client(String from, SimulatedTime.SimulatedProcess process) {
         return (address, request, callback) -> {
-            if (throwingAddresses.contains(address)) {
-                throw new IllegalStateException("expected test failure of a call to " + address);
-            }
             trafficListener.sent(from, address, request);
             send(new Delivery(from, process, address, request, once(from, address, callback)));
         };
