The exception of one response to a user does not cost other users theirs

An exception of one response ended the loop, and the others got no answer.

Change: each response is sent on its own; its exception is logged.

Test, which failed before the fix: LinearizableResponsesTest# exceptionOfOneResponseDoesNotKeepOthersFromBeingSent (the second user got no response). The exception is injected; none is known.

--- a/src/main/java/org/gullway/api/LinearizableResponses.java
+++ b/src/main/java/org/gullway/api/LinearizableResponses.java
@@ -7,6 +7,7 @@
 import java.util.function.Consumer;
 import java.util.function.Function;
 import org.gullway.api.JobLookupResult.Found;
+import org.gullway.coordination.cycle.ErrorIsolation;
 import org.gullway.protocol.Cbor;
 import org.gullway.protocol.JobStatus;
 import org.gullway.transport.EventLoop;
@@ -88,12 +89,8 @@
 
     private void respond(List<UserRequest> requests, JobLookupResult result, Response response) {
         for (UserRequest request : requests) {
-            if (result.freshness().isFreshFor(request.arrivedAt())) {
-                request.exchange().respond(response.status(), response.body());
-            } else {
-                onViolation.accept("response withheld: state is older than the request " + describe(result, request));
-                UserResponses.rejectTemporarily(request);
-            }
+            // The other requests, and those that the caller responds to next, must not depend on this one.
+            ErrorIsolation.run("user_response", () -> respond(request, result, response));
         }
         if (LOG.isDebugEnabled() && !requests.isEmpty()) {
             UserRequest last = requests.get(requests.size() - 1);
@@ -105,6 +102,15 @@
         }
     }
 
+    private void respond(UserRequest request, JobLookupResult result, Response response) {
+        if (result.freshness().isFreshFor(request.arrivedAt())) {
+            request.exchange().respond(response.status(), response.body());
+        } else {
+            onViolation.accept("response withheld: state is older than the request " + describe(result, request));
+            UserResponses.rejectTemporarily(request);
+        }
+    }
+
     /** Returns the job's final state if it has become known since the lookup, and otherwise the result itself. */
     private JobLookupResult preferFinalState(JobLookupResult result) {
         if (result.isFinal()) {
--- a/src/test/java/org/gullway/api/LinearizableResponsesTest.java
+++ b/src/test/java/org/gullway/api/LinearizableResponsesTest.java
@@ -1,6 +1,7 @@
 package org.gullway.api;
 
 import static org.assertj.core.api.Assertions.assertThat;
+import static org.assertj.core.api.Assertions.catchThrowable;
 
 import com.sun.management.ThreadMXBean;
 import java.lang.management.ManagementFactory;
@@ -12,6 +13,7 @@
 import java.util.Map;
 import java.util.Optional;
 import java.util.function.BiConsumer;
+import java.util.function.Consumer;
 import net.jqwik.api.ForAll;
 import net.jqwik.api.Property;
 import net.jqwik.api.constraints.IntRange;
@@ -54,18 +56,31 @@
 
     private int respondAndGetStatus(BiConsumer<UserRequest, JobLookupResult> responder, JobLookupResult result) {
         List<Integer> statuses = new ArrayList<>();
-        SimulatedNetwork.Message exchange = new SimulatedNetwork.Message(
-                "users",
-                "GET",
-                "/v2/runs/" + JOB,
-                "",
-                new byte[0],
-                (HttpResponse response) -> statuses.add(response.status()));
-        responder.accept(new UserRequest(exchange, ARRIVED_AT), result);
+        responder.accept(request(response -> statuses.add(response.status())), result);
         assertThat(statuses).as("exactly one response").hasSize(1);
         return statuses.get(0);
     }
 
+    /** Guards against users who get no response because the one to another user fails. */
+    @Test
+    void exceptionOfOneResponseDoesNotKeepOthersFromBeingSent() {
+        List<Integer> statuses = new ArrayList<>();
+        List<UserRequest> requests = List.of(
+                request(response -> {
+                    throw new IllegalStateException("expected test failure");
+                }),
+                request(response -> statuses.add(response.status())));
+        Throwable thrown = catchThrowable(() -> responses.respondToQueries(requests, found(ARRIVED_AT)));
+        assertThat(statuses).containsExactly(200);
+        assertThat(thrown).isNull();
+    }
+
+    private static UserRequest request(Consumer<HttpResponse> onResponse) {
+        return new UserRequest(
+                new SimulatedNetwork.Message("users", "GET", "/v2/runs/" + JOB, "", new byte[0], onResponse),
+                ARRIVED_AT);
+    }
+
     private static StateFreshness freshness(Instant notOlderThan) {
         return new StateFreshness(StateFreshness.Source.VERSION_CHECK, 7, notOlderThan);
     }
