A request to the cloud that cannot be encoded has an outcome, too

Change: such a request ends as refused (the next cheapest offering is taken, as for a lack of capacity), a release as not sent.

--- a/src/main/java/org/gullway/cloud/CloudClient.java
+++ b/src/main/java/org/gullway/cloud/CloudClient.java
@@ -19,7 +19,8 @@
 
 /**
  * A client of the cloud provider's API. Callers must acquire a token with {@link #tryAcquire} before each request,
- * except for the further pages of a machine list and for repetitions of a provisioning request.
+ * except for the further pages of a machine list and for repetitions of a provisioning request. Every request has one
+ * outcome, also if it cannot be encoded, since callers wait for the outcome before they send the next.
  */
 public final class CloudClient {
     private static final Logger LOG = LoggerFactory.getLogger(CloudClient.class);
@@ -95,14 +96,26 @@
      * @param requestId identifies the request; the provider processes repeated requests with the same id only once
      */
     void provision(String requestId, ProvisioningRequest request, Consumer<ProvisioningOutcome> callback) {
-        byte[] body = CloudMessages.encodeProvisionRequest(
-                requestId, request.type(), request.zone(), request.spot(), request.count());
+        byte[] body;
+        try {
+            body = CloudMessages.encodeProvisionRequest(
+                    requestId, request.type(), request.zone(), request.spot(), request.count());
+        } catch (RuntimeException e) {
+            logNotEncodable(MACHINES_PATH, e);
+            callback.accept(
+                    ProvisioningOutcome.withoutMachines(ProvisioningOutcome.Status.REFUSED, HttpResponse.notSent()));
+            return;
+        }
         httpClient.call(
                 address,
                 HttpRequest.post(MACHINES_PATH, body, TIMEOUT),
                 response -> callback.accept(outcome(requestId, response)));
     }
 
+    private static void logNotEncodable(String path, RuntimeException exception) {
+        LOG.error("could not encode a request to the cloud provider and did not send it path={}", path, exception);
+    }
+
     private static ProvisioningOutcome outcome(String requestId, HttpResponse response) {
         if (response.isOk()) {
             try {
@@ -124,7 +137,14 @@
 
     /** Releases machines and passes the provider's response to the callback. */
     void release(List<String> machines, Consumer<HttpResponse> callback) {
-        httpClient.call(
-                address, HttpRequest.post(RELEASE_PATH, CloudMessages.encodeRelease(machines), TIMEOUT), callback);
+        byte[] body;
+        try {
+            body = CloudMessages.encodeRelease(machines);
+        } catch (RuntimeException e) {
+            logNotEncodable(RELEASE_PATH, e);
+            callback.accept(HttpResponse.notSent());
+            return;
+        }
+        httpClient.call(address, HttpRequest.post(RELEASE_PATH, body, TIMEOUT), callback);
     }
 }
