review: case 7, a small job held back by cordons for urgent jobs

Cause: the leader cordons every machine for urgent jobs whose tasks fit nowhere, so that a small job which fits on all of them waits over 90 s.

Change: the case's claim and script. It takes the place of the former case 7 (a restarted controller's small jobs), which the earlier case 3 shows already.

--- a/review/7/run.sh
+++ b/review/7/run.sh
@@ -6,7 +6,7 @@
   echo "build first: the build of deploy/service.toml, then review/build-2.sh" >&2
   exit 2
 fi
-timeout -k 2 118 java -Xmx2g \
+timeout -k 2 118 java -Xmx2g -Dreview.changes=40 -Dreview.operations=32 \
   -cp target/review-2/classes:target/gullway.jar org.gullway.Case7 review/7
 code=$?
 [[ $code -le 1 ]] || code=2
--- a/review/src-2/org/gullway/Case7.java
+++ b/review/src-2/org/gullway/Case7.java
@@ -2,24 +2,27 @@
 
 import java.nio.file.Path;
 import java.time.Duration;
-import java.util.ArrayList;
 import java.util.List;
 import java.util.Map;
-import java.util.TreeMap;
 import java.util.concurrent.ConcurrentHashMap;
 import org.gullway.protocol.MachineType;
 import org.gullway.protocol.Priority;
 
-/** A controller crashes and comes back; afterwards small jobs are submitted while each machine has half a CPU free. */
+/** After a burst of urgent jobs, a small job of priority normal is submitted; every machine has room for its task. */
 final class Case7 {
     public static void main(String[] arguments) throws Exception {
         boolean trouble = !"0".equals(System.getenv("TROUBLE"));
         ReviewCluster.Setup setup = new ReviewCluster.Setup();
-        setup.capacity = 3;
-        setup.teams.put("cartografia", new double[] {80, 192});
-        setup.teams.put("guardaparques", new double[] {96, 360});
-        setup.types.add(new MachineType(
-                "jaguar-32", 32, 0, 256, 50, 1, 2.65, 0.87, Duration.ofSeconds(2), List.of("san-pedro")));
+        setup.zone = "ba-vi";
+        setup.requestsPerSecond = 100;
+        setup.leaseSeconds = 22;
+        setup.cancelSeconds = 47;
+        // 32 machines trau-32: 16 cheap ones and 16 others.
+        setup.capacity = 16;
+        setup.teams.put("dieu-phoi", new double[] {336, 568});
+        setup.teams.put("tai-chinh", new double[] {336, 992});
+        setup.types.add(
+                new MachineType("trau-32", 32, 0, 128, 30, 0.8, 1.61, 0.45, Duration.ofSeconds(2), List.of("ba-vi")));
         int exit = 2;
         try (ReviewCluster cluster = new ReviewCluster(setup, Path.of(arguments[0], "record.txt"))) {
             cluster.note("TROUBLE=" + (trouble ? 1 : 0));
@@ -38,54 +41,46 @@
 
     private static boolean run(ReviewCluster cluster, boolean trouble) throws Exception {
         Map<String, Double> startedAt = new ConcurrentHashMap<>();
-        cluster.onStart = (machine, task) -> {
-            startedAt.putIfAbsent(task, cluster.seconds());
-            cluster.note("start " + task + " on " + machine);
-        };
-        // Three machines, one for each controller, each with 0.5 of 32 CPUs free for the rest of the run.
-        cluster.submit(
-                ReviewCluster.job("run-000001", "tile-render", "cartografia", Priority.NORMAL, 3, 31.5, 26),
-                Duration.ofSeconds(300));
-        while (startedAt.size() < 3) {
+        cluster.onStart = (machine, task) -> startedAt.putIfAbsent(task, cluster.seconds());
+        // The class tank-alert: four jobs, which fill the machines but for 2 CPUs each; in the burst eight.
+        submitAlerts(cluster, 0, 4);
+        double until = cluster.seconds() + 15;
+        while (startedAt.size() < 192 && cluster.seconds() < until) {
             Thread.sleep(200);
         }
-        Thread.sleep(1000);
-        String leader = cluster.leader();
-        String victim = cluster.nodes().stream().filter(node -> !node.equals(leader)).findFirst().orElseThrow();
-        if (trouble) {
-            cluster.kill(victim);
-            Thread.sleep(7000);
-            cluster.startController(victim);
+        if (startedAt.size() < 192) {
+            throw new IllegalStateException("the urgent tasks did not start: " + startedAt.size());
         }
-        if (!cluster.awaitHealthy(20)) {
-            throw new IllegalStateException("a controller did not come back");
+        if (trouble) {
+            submitAlerts(cluster, 4, 8);
         }
         Thread.sleep(1000);
-        // Small jobs, one after another, until one of them doesn't start at once; twelve at most.
-        Map<String, Double> submittedAt = new TreeMap<>();
-        List<String> waiting = new ArrayList<>();
-        for (int i = 10; i < 22 && waiting.isEmpty(); i++) {
-            String id = "run-0000" + i;
-            cluster.submit(
-                    ReviewCluster.job(id, "contour-smooth", "guardaparques", Priority.NORMAL, 1, 0.25, 0.5),
-                    Duration.ofMillis(500));
-            submittedAt.put(id, cluster.seconds());
-            Thread.sleep(1100);
-            if (!startedAt.containsKey(id + "/0")) {
-                waiting.add(id);
-            }
-        }
-        while (!waiting.isEmpty() && cluster.seconds() < submittedAt.get(waiting.get(0)) + 90.5) {
+        cluster.note(startedAt.size() + " urgent tasks run on " + cluster.onLoop(cluster.cloud::machineCount)
+                + " machines, each of which has 2 CPUs and 80 GB free; all submissions of the burst are over");
+        cluster.submit(
+                ReviewCluster.job("run-000010", "payment-settle", "tai-chinh", Priority.NORMAL, 1, 1.5, 3),
+                Duration.ofSeconds(10));
+        double submitted = cluster.seconds();
+        while (cluster.seconds() < submitted + 91 && !startedAt.containsKey("run-000010/0")) {
             Thread.sleep(500);
-            waiting.removeIf(id -> startedAt.containsKey(id + "/0"));
+            if (Math.round(cluster.seconds() - submitted) % 15 == 0) {
+                cluster.query("perch-0", "run-000010");
+            }
         }
-        for (String id : waiting) {
-            String owner = cluster.onLoop(() -> cluster.store.value("live/jobs/" + id).path("owner").asText());
-            cluster.note(id + " has waited " + Math.round(cluster.seconds() - submittedAt.get(id)) + " s; owner " + owner);
-            cluster.query(leader, id);
+        boolean started = startedAt.containsKey("run-000010/0");
+        cluster.note("the job of priority normal "
+                + (started ? "has started" : "has not started 90 s after its submission") + "; urgent tasks that run "
+                + (startedAt.size() - (started ? 1 : 0)) + ", cordoned machines "
+                + (cluster.onLoop(() -> String.valueOf(cluster.store.value("live/closed"))).split("vm-").length - 1));
+        return started;
+    }
+
+    private static void submitAlerts(ReviewCluster cluster, int from, int to) throws Exception {
+        for (int i = from; i < to; i++) {
+            cluster.submit(
+                    ReviewCluster.job("run-00000" + i, "tank-alert", i % 2 == 0 ? "dieu-phoi" : "tai-chinh",
+                            Priority.HIGH, 48, 5, 8),
+                    Duration.ofSeconds(118));
         }
-        cluster.note(waiting.size() + " of " + submittedAt.size() + " accepted jobs have not started 90 s after their"
-                + " submission; machines " + cluster.onLoop(cluster.cloud::machineCount));
-        return waiting.isEmpty();
     }
 }
