--- a/review/src-2/org/gullway/Case4.java
+++ b/review/src-2/org/gullway/Case4.java
@@ -16,7 +16,7 @@
 final class Case4 {
     private static final int WARM_UP_SECONDS = 30;
     private static final int REFUSED_SECONDS = 45;
-    private static final int OBSERVED_SECONDS = 30;
+    private static final int OBSERVED_SECONDS = 26;
 
     public static void main(String[] arguments) throws Exception {
         boolean trouble = !"0".equals(System.getenv("TROUBLE"));
