A machine gets no more attempts than its agent's heartbeat can list

Cause: nothing bounded the number of attempts on a machine. An agent lists all of them in each heartbeat, and a request has at most 64 KiB; with 2,400 attempts the heartbeat has 101,002 bytes (168,000 as JSON), so every controller answered 400. The machine was declared lost and returned, and best fit placed the same tasks on the next machine in the same way. Change: FreeResources is the one rule for whether a task fits. It now counts attempts as well: at most three quarters of those that a heartbeat can list, which MessageLimits computes from the page's 64 KiB and the longest possible entry. Placements, simulated preemption, cordons and scale-out use this rule instead of four versions of it; a machine without room for an attempt has no usable CPUs for offers, spare capacity and scale-in. MessageSizeRule checks the limit in all simulated scenarios. Why it works: whoever places a task asks the rule, so the list stays within the limit, and the planner of new machines counts the same room as the placements.

--- a/src/main/java/org/gullway/coordination/model/ResourceUsage.java
+++ b/src/main/java/org/gullway/coordination/model/ResourceUsage.java
@@ -9,6 +9,19 @@
     public double memoryGb;
     public int tasks;
 
+    /** The sum of this usage and a delta, for reading only: this usage itself if the delta is zero. */
+    ResourceUsage plus(ResourceUsage delta) {
+        if (delta.tasks == 0 && delta.cpus == 0 && delta.gpus == 0 && delta.memoryGb == 0) {
+            return this;
+        }
+        ResourceUsage sum = new ResourceUsage();
+        sum.cpus = cpus + delta.cpus;
+        sum.gpus = gpus + delta.gpus;
+        sum.memoryGb = memoryGb + delta.memoryGb;
+        sum.tasks = tasks + delta.tasks;
+        return sum;
+    }
+
     /**
      * Adds or subtracts one task in a sum of differences. The sum may be negative, and it need not be zero when as many
      * tasks were added as subtracted, since tasks differ in size.
--- a/src/main/java/org/gullway/coordination/model/Transaction.java
+++ b/src/main/java/org/gullway/coordination/model/Transaction.java
@@ -188,19 +188,9 @@
         return fencingToken();
     }
 
-    /** Processors in use on a machine after this transaction. */
-    public double cpusUsedOn(String machine) {
-        return clusterState.usageOn(machine).cpus + usageDelta.onMachine(machine).cpus;
-    }
-
-    /** Memory in use on a machine after this transaction, in GB. */
-    public double memoryUsedOn(String machine) {
-        return clusterState.usageOn(machine).memoryGb + usageDelta.onMachine(machine).memoryGb;
-    }
-
-    /** GPUs in use on a machine after this transaction. */
-    public double gpusUsedOn(String machine) {
-        return clusterState.usageOn(machine).gpus + usageDelta.onMachine(machine).gpus;
+    /** Resources in use on a machine after this transaction, for reading only. */
+    public ResourceUsage usageOn(String machine) {
+        return clusterState.usageOn(machine).plus(usageDelta.onMachine(machine));
     }
 
     /** The quota partition of this key as this transaction leaves it. */
--- a/src/main/java/org/gullway/coordination/placement/PlacementConstraints.java
+++ b/src/main/java/org/gullway/coordination/placement/PlacementConstraints.java
@@ -1,7 +1,5 @@
 package org.gullway.coordination.placement;
 
-import static org.gullway.coordination.placement.ResourceTolerance.EPSILON;
-
 import org.gullway.coordination.model.ClusterState;
 import org.gullway.coordination.model.JobRecord;
 import org.gullway.coordination.model.MachineRecord;
@@ -27,12 +25,14 @@
     }
 
     /**
-     * Returns the CPUs of the machine that are free after the placements in the cluster state and in the transaction,
-     * or 0 if the machine's type is unknown.
+     * Returns the CPUs of the machine that tasks can use after the placements in the cluster state and in the
+     * transaction: 0 if no further task fits, however small it is, or if the machine's type is unknown.
      */
     public double freeCpus(MachineRecord machine, Transaction transaction) {
         MachineType type = typeOf(machine);
-        return type == null ? 0 : type.cpus() - transaction.cpusUsedOn(machine.name());
+        return type == null
+                ? 0
+                : FreeResources.of(type, transaction.usageOn(machine.name())).usableCpus();
     }
 
     /**
@@ -42,9 +42,7 @@
     public boolean fits(JobRequest job, MachineRecord machine, Transaction transaction) {
         MachineType type = typeOf(machine);
         return type != null
-                && transaction.cpusUsedOn(machine.name()) + job.cpus() <= type.cpus() + EPSILON
-                && transaction.memoryUsedOn(machine.name()) + job.memoryGb() <= type.memoryGb() + EPSILON
-                && transaction.gpusUsedOn(machine.name()) + job.gpus() <= type.gpus() + EPSILON;
+                && FreeResources.of(type, transaction.usageOn(machine.name())).fits(job);
     }
 
     /**
--- a/src/main/java/org/gullway/coordination/scaling/BinPacking.java
+++ b/src/main/java/org/gullway/coordination/scaling/BinPacking.java
@@ -1,10 +1,13 @@
 package org.gullway.coordination.scaling;
 
+import static org.gullway.coordination.placement.ResourceTolerance.EPSILON;
+
 import java.util.ArrayList;
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
 import org.gullway.coordination.model.ResourceUsage;
+import org.gullway.coordination.placement.FreeResources;
 import org.gullway.protocol.JobRequest;
 
 /**
@@ -15,46 +18,20 @@
     /** Maximum number of new machines per packing, to bound its duration; the next packs the remaining tasks. */
     static final int MAX_NEW_MACHINES = 10_000;
 
-    private static final double EPSILON = 1e-6;
-
     /** The free resources of one machine, which is up, booting or still to be provisioned. */
-    private static final class Bin {
-        private final MachineOffering offering;
-        private double freeCpus;
-        private double freeGpus;
-        private double freeMemoryGb;
-
-        Bin(MachineOffering offering, double freeCpus, double freeGpus, double freeMemoryGb) {
-            this.offering = offering;
-            this.freeCpus = freeCpus;
-            this.freeGpus = freeGpus;
-            this.freeMemoryGb = freeMemoryGb;
-        }
-
-        static Bin empty(MachineOffering offering) {
-            return new Bin(
-                    offering,
-                    offering.type().cpus(),
-                    offering.type().gpus(),
-                    offering.type().memoryGb());
-        }
-
+    private record Bin(MachineOffering offering, FreeResources free) {
         /** Packs as many of the tasks as fit and returns their number. */
         int pack(JobRequest job, int tasks) {
             if (!offering.isCompatible(job)) {
                 return 0;
             }
-            int packed = Math.min(tasks, tasksThatFit(freeCpus, job.cpus()));
-            packed = Math.min(packed, tasksThatFit(freeGpus, job.gpus()));
-            packed = Math.min(packed, tasksThatFit(freeMemoryGb, job.memoryGb()));
-            freeCpus -= packed * job.cpus();
-            freeGpus -= packed * job.gpus();
-            freeMemoryGb -= packed * job.memoryGb();
+            int packed = Math.min(tasks, free.fittingTasks(job));
+            free.reserve(job, packed);
             return packed;
         }
 
-        private static int tasksThatFit(double free, double perTask) {
-            return perTask <= 0 ? Integer.MAX_VALUE : (int) Math.max(0, (free + EPSILON) / perTask);
+        boolean isFull() {
+            return free.usableCpus() <= EPSILON;
         }
     }
 
@@ -69,11 +46,7 @@
 
     /** Adds a machine that is up or booting. */
     void add(MachineOffering machine, ResourceUsage used) {
-        existingBins.add(new Bin(
-                machine,
-                machine.type().cpus() - used.cpus,
-                machine.type().gpus() - used.gpus,
-                machine.type().memoryGb() - used.memoryGb));
+        existingBins.add(new Bin(machine, FreeResources.of(machine.type(), used)));
     }
 
     /** Packs as many of the tasks as possible and returns their number. */
@@ -81,7 +54,7 @@
         int packed = packInto(existingBins, job, tasks);
         packed += packInto(newBins, job, tasks - packed);
         if (packed > 0) {
-            existingBins.removeIf(bin -> bin.freeCpus <= EPSILON);
+            existingBins.removeIf(Bin::isFull);
         }
         for (MachineOffering offering : offerings) {
             if (packed < tasks && offering.isCompatible(job)) {
@@ -102,7 +75,7 @@
     private int packIntoNew(MachineOffering offering, JobRequest job, int tasks) {
         int packed = 0;
         while (packed < tasks && newBins.size() < MAX_NEW_MACHINES) {
-            Bin bin = Bin.empty(offering);
+            Bin bin = new Bin(offering, FreeResources.ofEmpty(offering.type()));
             packed += bin.pack(job, tasks - packed);
             newBins.add(bin);
         }
--- a/src/main/java/org/gullway/coordination/scaling/ScaleOutPlanner.java
+++ b/src/main/java/org/gullway/coordination/scaling/ScaleOutPlanner.java
@@ -1,5 +1,7 @@
 package org.gullway.coordination.scaling;
 
+import static org.gullway.coordination.placement.ResourceTolerance.EPSILON;
+
 import java.time.Instant;
 import java.util.ArrayList;
 import java.util.Comparator;
@@ -9,6 +11,7 @@
 import org.gullway.coordination.model.MachineRecord;
 import org.gullway.coordination.model.MachineRecord.MachineLifecycle;
 import org.gullway.coordination.model.ResourceUsage;
+import org.gullway.coordination.placement.FreeResources;
 import org.gullway.coordination.placement.MachineTypeCatalog;
 import org.gullway.coordination.quota.QuotaHeadroom;
 import org.gullway.coordination.quota.TeamQuotas;
@@ -22,8 +25,6 @@
  * jobs, onto the machines that have booted or are booting. The tasks that do not fit there need new machines.
  */
 final class ScaleOutPlanner {
-    private static final double EPSILON = 1e-6;
-
     private final ClusterState clusterState;
     private final MachineTypeCatalog machineTypes;
     private final TeamQuotas quotas;
@@ -57,7 +58,7 @@
             MachineType type = machineTypes.byName().get(machine.type());
             if (type != null && machine.lifecycle() == MachineLifecycle.ACTIVE) {
                 ResourceUsage used = clusterState.usageOn(machine.name());
-                if (used.cpus + smallestTask <= type.cpus() + EPSILON) {
+                if (smallestTask <= FreeResources.of(type, used).usableCpus() + EPSILON) {
                     packing.add(new MachineOffering(type, machine.zone(), machine.spot()), used);
                 }
             }
--- a/src/main/java/org/gullway/coordination/scheduling/CordonPlanner.java
+++ b/src/main/java/org/gullway/coordination/scheduling/CordonPlanner.java
@@ -13,6 +13,7 @@
 import org.gullway.coordination.model.MachineRecord;
 import org.gullway.coordination.model.StoreKeys;
 import org.gullway.coordination.model.Transaction;
+import org.gullway.coordination.placement.FreeResources;
 import org.gullway.coordination.placement.PlacementConstraints;
 import org.gullway.protocol.JobRequest;
 import org.gullway.protocol.MachineType;
@@ -30,8 +31,6 @@
     private static final Duration CHANGE_INTERVAL = Duration.ofSeconds(2);
 
     private static final int MAX_STALLED_JOBS = 3;
-    /** Lower bound for the memory request in a divisor, which avoids division by zero. */
-    private static final double MIN_MEMORY_GB = 1e-9;
 
     private final ClusterState clusterState;
     private final PlacementConstraints constraints;
@@ -81,9 +80,8 @@
     }
 
     /**
-     * Chooses machines until their CPUs and memory together suffice for all waiting tasks of the given jobs once no
-     * other tasks run there, or until no suitable machine is left. Machines with the most free CPUs are chosen first. A
-     * machine must have enough GPUs for one task, but GPUs are not counted for further tasks.
+     * Chooses machines until all waiting tasks of the given jobs fit on them once no other tasks run there, or until no
+     * suitable machine is left. Machines with the most free CPUs are chosen first.
      *
      * @return the names of at most {@link CordonedMachines#MAX_MACHINES} machines
      */
@@ -112,8 +110,7 @@
                     && type.canHostTaskOf(request)
                     && constraints.isAllowed(job, machine, clusterState)
                     && chosen.add(machine.name())) {
-                tasks -= (int) Math.min(
-                        type.cpus() / request.cpus(), type.memoryGb() / Math.max(MIN_MEMORY_GB, request.memoryGb()));
+                tasks -= FreeResources.ofEmpty(type).fittingTasks(request);
             }
         }
     }
--- a/src/main/java/org/gullway/coordination/scheduling/PreemptionPlanner.java
+++ b/src/main/java/org/gullway/coordination/scheduling/PreemptionPlanner.java
@@ -16,6 +16,7 @@
 import org.gullway.coordination.model.MachineRecord;
 import org.gullway.coordination.model.Placement;
 import org.gullway.coordination.model.Transaction;
+import org.gullway.coordination.placement.FreeResources;
 import org.gullway.coordination.placement.PlacementConstraints;
 import org.gullway.protocol.MachineType;
 
@@ -69,7 +70,7 @@
     }
 
     private FreeResources freeOrBeingReleased(MachineRecord machine, MachineType type) {
-        FreeResources free = FreeResources.on(machine, type, transaction);
+        FreeResources free = FreeResources.of(type, transaction.usageOn(machine.name()));
         clusterState.placementsOn(machine.name()).forEach((id, placement) -> {
             JobRecord job = clusterState.job(id.task().job());
             if (placement.stopping() || job.isCancelled()) {
@@ -129,7 +130,7 @@
         if (!option.victims().isEmpty()) {
             victimsByMachine.get(machine).removeAll(option.victims());
         }
-        free.reserve(job.request());
+        free.reserve(job.request(), 1);
         targetMachines.add(machine);
     }
 
--- a/src/main/java/org/gullway/protocol/JobRequest.java
+++ b/src/main/java/org/gullway/protocol/JobRequest.java
@@ -69,6 +69,9 @@
     }
 
     public static final int MAX_TASKS = 100_000;
+    /** Maximum number of digits in a job's id, as in {@link #ID}. */
+    static final int MAX_ID_DIGITS = 18;
+
     private static final Pattern ID = Pattern.compile("run-[0-9]{1,18}");
 
     public static boolean isValidId(String text) {
--- a/src/test/java/org/gullway/SimulatedCluster.java
+++ b/src/test/java/org/gullway/SimulatedCluster.java
@@ -77,10 +77,10 @@
         violations = invariants.violations;
         random = new SplittableRandom(seed);
         network = new SimulatedNetwork(time, random.split(), setup.faultShare());
-        network.observe(traffic.apply(time));
         store = new FakeStateStore(loop);
         controllers = new SimulatedControllers(
                 network, random, setup, responses, violation -> violations.add("invariant: " + violation));
+        network.observe(new MessageSizeRule(violations, publicAddresses(), traffic.apply(time)));
         HttpClient userClient = network.client("users", loop);
         users = new TestUsers(loop, userClient, invariants, random, publicAddresses());
         jobs = new SimulatedJobs(loop, userClient, invariants, random, publicAddresses());
--- a/src/test/java/org/gullway/coordination/scaling/BinPackingTest.java
+++ b/src/test/java/org/gullway/coordination/scaling/BinPackingTest.java
@@ -18,6 +18,7 @@
 import org.gullway.coordination.model.ResourceUsage;
 import org.gullway.protocol.JobRequest;
 import org.gullway.protocol.MachineType;
+import org.gullway.protocol.MessageLimits;
 import org.gullway.protocol.Priority;
 import org.junit.jupiter.api.Test;
 
@@ -98,6 +99,18 @@
         assertThat(packing.machinesToProvision()).isEqualTo(Map.of(SPOT, 6_000));
     }
 
+    /** Guards against work that waits because fewer machines are provisioned than its tasks may be placed on. */
+    @Test
+    void tinyTasksNeedAsManyMachinesAsTheMaximumOfAttemptsRequires() {
+        BinPacking packing = new BinPacking(List.of(SPOT));
+        ResourceUsage full = new ResourceUsage();
+        full.tasks = MessageLimits.MAX_PLACED_ATTEMPTS;
+        packing.add(SPOT, full);
+        assertThat(packing.pack(request(0.001, 0.001, true), 2 * MessageLimits.MAX_PLACED_ATTEMPTS + 1))
+                .isEqualTo(2 * MessageLimits.MAX_PLACED_ATTEMPTS + 1);
+        assertThat(packing.machinesToProvision()).isEqualTo(Map.of(SPOT, 3));
+    }
+
     @Test
     void stopsAtTheMaximumOfProvisionedMachines() {
         BinPacking packing = new BinPacking(List.of(SPOT));
