Starts wait until the agent's heartbeat has room for them

What callers saw: a machine whose work was cancelled or failed in waves was lost with its other work, since its heartbeat had grown beyond 64 KiB. Cause: an agent lists an attempt that ended without success until it is told to forget it, and that is allowed only once the agent has confirmed a higher fencing token. Nothing raised the token for this reason, so the list grew without bound. Two placers that do not see each other's transactions could exceed the limit too. Change: CommandPlanner sends no more starts than the agent can list. Placements that exceed the list and never started are marked as stopping, on record before their end is reported, so that their tasks are placed elsewhere; attempts that run are left alone. Why it works: at most one batch is in flight for an agent, and starts are planned only from a list that the agent has sent under the current token, so the list cannot grow by more than what was counted.

--- a/src/main/java/org/gullway/coordination/agents/AgentConditionPlanner.java
+++ b/src/main/java/org/gullway/coordination/agents/AgentConditionPlanner.java
@@ -8,25 +8,28 @@
 import org.gullway.coordination.model.Transaction;
 
 /**
- * Changes records according to the state of individual agents. A start with unknown outcome requires a higher fencing
- * token, and a machine that is faulty or has a spot notice is drained.
+ * Changes records according to the state of individual agents. A start with unknown outcome, or a heartbeat that is
+ * filled with ended attempts, requires a higher fencing token, and a machine that is faulty or has a spot notice is
+ * drained.
  */
 final class AgentConditionPlanner {
     /**
-     * Minimum time between two fencing tokens raised for starts with unknown outcome. Each new token costs one more
-     * message from every agent, and one token resolves all starts whose outcomes became unknown before it.
+     * Minimum time between two fencing tokens that agents require. Each new token costs one more message from every
+     * agent, and one token resolves all starts whose outcomes became unknown, and all ends of attempts, before it.
      */
     private static final Duration FENCING_TOKEN_INTERVAL = Duration.ofSeconds(1);
 
     private final AgentRegistry agents;
     private final SpotNoticePlanner spotNotices;
     private final JobFailureTracker jobFailures;
+    private final ExcessPlacementPlanner excessPlacements;
     private Instant fencingTokenRaisedAt = Instant.MIN;
 
     AgentConditionPlanner(ClusterState clusterState, AgentRegistry agents) {
         this.agents = agents;
         this.spotNotices = new SpotNoticePlanner(clusterState);
         this.jobFailures = new JobFailureTracker(clusterState);
+        this.excessPlacements = new ExcessPlacementPlanner(clusterState);
     }
 
     void plan(Transaction transaction, Instant now) {
@@ -37,21 +40,26 @@
                         .toList(),
                 now);
         agents.recordChangeCandidates().removeIf(name -> !mayNeedRecordChange(name));
-        boolean unknownStart = false;
+        boolean tokenNeeded = false;
         for (String name : agents.recordChangeCandidates()) {
             AgentState agent = agents.find(name);
             MachineRecord record = transaction.machine(name);
             if (agents.isAssignedInRecordedEpoch(record, agent)) {
-                unknownStart |= agent.highestUnknownStartToken() >= transaction.fencingToken();
+                tokenNeeded |= needsHigherToken(agent, transaction.fencingToken());
+                excessPlacements.plan(transaction, record, agent);
                 spotNotices.plan(transaction, record, agent, now);
                 drainIfFaultyOrTerminating(transaction, record, agent, now);
             }
         }
-        if (unknownStart) {
+        if (tokenNeeded) {
             raiseFencingToken(transaction, now);
         }
     }
 
+    private static boolean needsHigherToken(AgentState agent, long fencingToken) {
+        return Math.max(agent.highestUnknownStartToken(), agent.fencingTokenToSurpass()) >= fencingToken;
+    }
+
     private boolean mayNeedRecordChange(String name) {
         AgentState agent = agents.find(name);
         return agent != null && agent.mayNeedRecordChange();
--- a/src/main/java/org/gullway/coordination/agents/AgentState.java
+++ b/src/main/java/org/gullway/coordination/agents/AgentState.java
@@ -7,6 +7,7 @@
 import org.gullway.coordination.model.AttemptId;
 import org.gullway.coordination.model.MachineRecord;
 import org.gullway.protocol.Heartbeat;
+import org.gullway.protocol.MessageLimits;
 import org.gullway.protocol.TaskStatus;
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
@@ -43,6 +44,8 @@
      */
     private long highestUnknownStartToken;
 
+    private int heldBackStarts;
+
     private Instant nextWakeup = Instant.MIN;
 
     /**
@@ -242,9 +245,48 @@
         }
     }
 
-    /** Returns whether a start with unknown outcome, a spot notice or failed tasks may require a change of records. */
+    /** Records how many starts were left out of the agent's commands, since its heartbeat cannot list more attempts. */
+    void onStartsPlanned(int heldBack) {
+        heldBackStarts = heldBack;
+    }
+
+    boolean hasHeldBackStarts() {
+        return heldBackStarts > 0;
+    }
+
+    /**
+     * Returns whether the agent lists so many attempts that those which ended have to be forgotten before further
+     * attempts can be started.
+     */
+    private boolean isListNearlyFull() {
+        return tasks.size() > MessageLimits.MAX_PLACED_ATTEMPTS;
+    }
+
+    /**
+     * Returns the fencing token that the agent has to surpass so that the list of its attempts can be shortened, or 0
+     * if it need not be. See {@link #mayForget}.
+     */
+    long fencingTokenToSurpass() {
+        if (!isListNearlyFull()) {
+            return 0;
+        }
+        long highest = 0;
+        for (long token : fencingTokenAtEnd.values()) {
+            highest = Math.max(highest, token);
+        }
+        return highest;
+    }
+
+    /**
+     * Returns whether a start with unknown outcome, a spot notice, failed tasks or a long list of attempts may require
+     * a change of records.
+     */
     boolean mayNeedRecordChange() {
-        return highestUnknownStartToken != 0 || spotTerminationAt != null || !failures.isEmpty();
+        return highestUnknownStartToken != 0
+                || spotTerminationAt != null
+                || !failures.isEmpty()
+                || hasHeldBackStarts()
+                || isListNearlyFull();
     }
 
     /** Makes the agent due for reconciliation at this time, unless it is due earlier. */
--- a/src/main/java/org/gullway/coordination/agents/CommandDispatcher.java
+++ b/src/main/java/org/gullway/coordination/agents/CommandDispatcher.java
@@ -116,7 +116,10 @@
     private Optional<CommandBatch> nextBatch(MachineRecord record, AgentState agent, Instant now) {
         boolean assignedInRecordedEpoch = agents.isAssignedInRecordedEpoch(record, agent);
         boolean tokenConfirmed = assignedInRecordedEpoch && agent.hasConfirmedFencingToken(record);
-        List<AgentCommand> commands = tokenConfirmed ? planner.startsAndStops(record, agent) : List.of();
+        PlannedCommands planned = tokenConfirmed ? planner.startsAndStops(record, agent) : PlannedCommands.NONE;
+        agent.onStartsPlanned(planned.heldBackStarts());
+        agents.addIfRecordChangeCandidate(record.name(), agent);
+        List<AgentCommand> commands = planned.commands();
         // A probe is a batch without commands. The response confirms the fencing token and lists the agent's tasks.
         // While commands go unanswered, a batch is sent whether or not the probe is deferred.
         boolean probe = needsProbe(record, agent, assignedInRecordedEpoch, tokenConfirmed);
@@ -141,8 +144,10 @@
             MachineRecord record, AgentState agent, boolean assignedInRecordedEpoch, boolean tokenConfirmed) {
         Heartbeat last = agent.lastMessage();
         boolean epochUnknown = last == null || last.agentEpoch() < record.agentEpoch();
+        // Starts that are held back wait until the agent may forget ended attempts, which requires a higher token.
+        boolean waitsForToken = !tokenConfirmed || agent.hasHeldBackStarts();
         return epochUnknown
-                || (assignedInRecordedEpoch && !tokenConfirmed && last.fencingToken() < clusterState.fencingToken());
+                || (assignedInRecordedEpoch && waitsForToken && last.fencingToken() < clusterState.fencingToken());
     }
 
     /** Handles the outcome of a batch. */
--- a/src/main/java/org/gullway/coordination/agents/CommandPlanner.java
+++ b/src/main/java/org/gullway/coordination/agents/CommandPlanner.java
@@ -11,6 +11,7 @@
 import org.gullway.coordination.model.Placement;
 import org.gullway.protocol.AgentCommand;
 import org.gullway.protocol.JobRequest;
+import org.gullway.protocol.MessageLimits;
 import org.gullway.protocol.TaskStatus;
 
 /**
@@ -44,9 +45,9 @@
 
     /**
      * Returns starts of attempts that are on record but not on the machine, and stops of attempts that must no longer
-     * run there.
+     * run there. No more starts than the agent can list in a heartbeat are returned.
      */
-    List<AgentCommand> startsAndStops(MachineRecord record, AgentState agent) {
+    PlannedCommands startsAndStops(MachineRecord record, AgentState agent) {
         List<AgentCommand> commands = new ArrayList<>();
         Map<AttemptId, Placement> placements = clusterState.placementsOn(record.name());
         placements.forEach((id, placement) -> {
@@ -59,7 +60,38 @@
                 commands.add(AgentCommand.stop(id.task(), id.attempt(), Duration.ZERO));
             }
         });
-        return commands;
+        int starts = countStarts(commands);
+        return starts + agent.tasks().size() <= MessageLimits.MAX_LISTED_ATTEMPTS
+                ? new PlannedCommands(commands, 0)
+                : withListableStarts(commands, starts, record, agent);
+    }
+
+    private static int countStarts(List<AgentCommand> commands) {
+        int starts = 0;
+        for (AgentCommand command : commands) {
+            starts += command.kind() == AgentCommand.Kind.START ? 1 : 0;
+        }
+        return starts;
+    }
+
+    /**
+     * Leaves out the starts for which the agent's heartbeat has no room. Commands to forget ended attempts come first,
+     * since the agent executes commands in order: the room of these attempts is used at once.
+     */
+    private PlannedCommands withListableStarts(
+            List<AgentCommand> commands, int starts, MachineRecord record, AgentState agent) {
+        List<AgentCommand> kept = new ArrayList<>(forgetCommands(record, agent));
+        int listed = agent.tasks().size() - kept.size();
+        int allowedStarts = Math.max(0, MessageLimits.MAX_LISTED_ATTEMPTS - listed);
+        int keptStarts = 0;
+        for (AgentCommand command : commands) {
+            boolean start = command.kind() == AgentCommand.Kind.START;
+            if (!start || keptStarts < allowedStarts) {
+                kept.add(command);
+                keptStarts += start ? 1 : 0;
+            }
+        }
+        return new PlannedCommands(kept, starts - keptStarts);
     }
 
     private void addCommandFor(List<AgentCommand> commands, AttemptId id, Placement placement, TaskStatus task) {
