Commands that do not fit into one message are sent with the next one

What callers would see: an agent rejects a batch of commands of more than 64 KiB as a whole, the same batch is planned again, and no task starts or stops there. Change: AgentCommand#firstThatFit leaves out what does not fit. The rest is planned again after the outcome of the batch, or with the next heartbeat.

--- a/src/main/java/org/gullway/agent/CommandSender.java
+++ b/src/main/java/org/gullway/agent/CommandSender.java
@@ -86,14 +86,15 @@
     }
 
     /**
-     * Sends a batch. Until its outcome, the machine gets no other batch, so there is an outcome in any case: a batch
-     * that cannot be encoded was not sent.
+     * Sends as many commands of a batch as fit into one request; the others are due again after its outcome. Until its
+     * outcome, the machine gets no other batch, so there is an outcome in any case: a batch that cannot be encoded was
+     * not sent.
      */
     private void send(CommandBatch plannedBatch, Consumer<CommandOutcome> onOutcome, Consumer<Heartbeat> onResponse) {
         CommandBatch batch;
         byte[] body;
         try {
-            batch = startGate.withoutDeniedStarts(plannedBatch);
+            batch = startGate.withoutDeniedStarts(plannedBatch).withCommandsThatFit();
             body = AgentCommand.encodeDirect(batch.fencingToken(), batch.agentEpoch(), batch.commands());
         } catch (RuntimeException e) {
             LOG.error("could not encode commands and did not send them machine={}", plannedBatch.machine(), e);
--- a/src/main/java/org/gullway/coordination/command/CommandBatch.java
+++ b/src/main/java/org/gullway/coordination/command/CommandBatch.java
@@ -24,6 +24,11 @@
         return commands.stream().anyMatch(command -> command.kind() == AgentCommand.Kind.START);
     }
 
+    /** Returns a copy of the batch with the first of its commands, as many as fit into one request. */
+    public CommandBatch withCommandsThatFit() {
+        return withCommands(AgentCommand.firstThatFit(commands));
+    }
+
     /** Returns a copy of the batch that contains these commands instead. */
     public CommandBatch withCommands(List<AgentCommand> replacement) {
         return new CommandBatch(machine, address, fencingToken, agentEpoch, replacement, sentAt);
--- a/src/main/java/org/gullway/protocol/HeartbeatResponseEncoder.java
+++ b/src/main/java/org/gullway/protocol/HeartbeatResponseEncoder.java
@@ -10,10 +10,13 @@
     private long cachedToken = -1;
     private byte[] cachedResponse;
 
-    /** Encodes the response to a heartbeat. The caller must not change the returned array, which is reused. */
+    /**
+     * Encodes the response to a heartbeat. Commands that do not fit into the response are left out; they are due again
+     * when the next heartbeat arrives. The caller must not change the returned array, which is reused.
+     */
     public byte[] encode(long fencingToken, List<AgentCommand> commands) {
         if (!commands.isEmpty()) {
-            return AgentCommand.encodeResponse(fencingToken, commands);
+            return AgentCommand.encodeResponse(fencingToken, AgentCommand.firstThatFit(commands));
         }
         if (cachedToken != fencingToken) {
             cachedToken = fencingToken;
