A heartbeat beyond the size limit is accepted, so that its tasks go on

Cause: a heartbeat of more than 64 KiB was answered with 400 without being read; the agent's lease ran out, and the machine was declared lost. Each is logged as "accepted a heartbeat that is larger than allowed". Users' and peers' requests keep the limit. Why it works: accepting renews the lease; no further task is placed there, and the list becomes shorter with each task that ends and is forgotten.

--- a/src/main/java/org/gullway/agent/HeartbeatHandler.java
+++ b/src/main/java/org/gullway/agent/HeartbeatHandler.java
@@ -13,6 +13,7 @@
 import org.gullway.protocol.Heartbeat;
 import org.gullway.protocol.HeartbeatResponseEncoder;
 import org.gullway.protocol.MalformedMessageException;
+import org.gullway.protocol.MessageLimits;
 import org.gullway.storage.ReplicatedState;
 import org.gullway.transport.EventLoop;
 import org.gullway.transport.HttpExchange;
@@ -91,7 +92,15 @@
         if (exchange.body() == null) {
             throw new MalformedMessageException("the body is larger than allowed");
         }
-        return Heartbeat.parse(exchange.body(), agentReconciler::lastMessage);
+        Heartbeat heartbeat = Heartbeat.parse(exchange.body(), agentReconciler::lastMessage);
+        if (exchange.body().length > MessageLimits.MAX_MESSAGE_BYTES) {
+            LOG.info(
+                    "accepted a heartbeat that is larger than allowed machine={} bytes={} attempts={}",
+                    heartbeat.machine(),
+                    exchange.body().length,
+                    heartbeat.tasks().size());
+        }
+        return heartbeat;
     }
 
     private void respondWithoutValidLease(HttpExchange exchange, Heartbeat heartbeat) {
--- a/src/main/java/org/gullway/controller/Daemon.java
+++ b/src/main/java/org/gullway/controller/Daemon.java
@@ -8,6 +8,7 @@
 import java.util.HashSet;
 import java.util.List;
 import java.util.Set;
+import org.gullway.protocol.MessageLimits;
 import org.gullway.protocol.OperatorSettings;
 import org.gullway.protocol.Settings;
 import org.gullway.transport.HttpServer;
@@ -24,7 +25,6 @@
 /** Runs a controller as a process, with real sockets and clocks. */
 public final class Daemon {
     private static final Logger LOG = LoggerFactory.getLogger(Daemon.class);
-    private static final int MAX_REQUEST_BODY_BYTES = 64 * 1024;
     private static final int BUFFER_BYTES = 8 * 1024;
     private static final int MAX_POOLED_BUFFERS = 256;
     private static final int CACHED_BUFFERS_PER_THREAD = 4;
@@ -51,7 +51,12 @@
                 InstantSource.system(),
                 randomSeed(settings.nodeName()));
         HttpServer.start(
-                worker, buffers, socketBudget, settings.peerAddress(), MAX_REQUEST_BODY_BYTES, controller::handlePeer);
+                worker,
+                buffers,
+                socketBudget,
+                settings.peerAddress(),
+                MessageLimits.MAX_MESSAGE_BYTES,
+                controller::handlePeer);
         LOG.info("listening for peers controller={} address={}", settings.nodeName(), settings.peerAddress());
         Runnable openPublicAddress = () -> openPublicAddress(worker, buffers, socketBudget, settings, controller);
         loop.execute(() -> controller.start(() -> worker.execute(openPublicAddress)));
@@ -76,7 +81,7 @@
             Controller controller) {
         String address = settings.publicAddress();
         try {
-            HttpServer.start(worker, buffers, socketBudget, address, MAX_REQUEST_BODY_BYTES, controller::handle);
+            HttpServer.start(worker, buffers, socketBudget, address, RequestRouter::bodyLimit, controller::handle);
             LOG.info("listening for users and agents controller={} address={}", settings.nodeName(), address);
         } catch (RuntimeException e) {
             // A controller that neither users nor agents can reach must not stay a member.
--- a/src/main/java/org/gullway/controller/RequestRouter.java
+++ b/src/main/java/org/gullway/controller/RequestRouter.java
@@ -5,6 +5,7 @@
 import org.gullway.agent.HeartbeatAdmission;
 import org.gullway.api.UserApi;
 import org.gullway.coordination.cancellation.LeaseRenewalPolicy;
+import org.gullway.protocol.MessageLimits;
 import org.gullway.transport.EventLoop;
 import org.gullway.transport.HttpExchange;
 import org.gullway.transport.HttpStatus;
@@ -39,6 +40,13 @@
         this.userApi = userApi;
     }
 
+    /** Returns the maximum size of the body of a request to this path. */
+    static int bodyLimit(String path) {
+        return path.equals(HEARTBEAT_PATH)
+                ? MessageLimits.MAX_ACCEPTED_HEARTBEAT_BYTES
+                : MessageLimits.MAX_MESSAGE_BYTES;
+    }
+
     /**
      * Routes the request to its handler, which responds immediately or later. Responds with status 404 to an unknown
      * path, and with status 405 to a method that the path does not support.
--- a/src/main/java/org/gullway/transport/HttpServer.java
+++ b/src/main/java/org/gullway/transport/HttpServer.java
@@ -31,6 +31,12 @@
 public final class HttpServer {
     private static final Logger LOG = LoggerFactory.getLogger(HttpServer.class);
 
+    /** The maximum size of a request body. */
+    @FunctionalInterface
+    public interface BodyLimit {
+        int bytesFor(String path);
+    }
+
     /** Handles one request. Must respond exactly once, immediately or later. */
     @FunctionalInterface
     public interface Handler {
@@ -109,6 +115,17 @@
 
     private HttpServer() {}
 
+    /** Starts to listen on an address, with the same limit for the bodies of all requests. */
+    public static String start(
+            XnioWorker worker,
+            ByteBufferPool buffers,
+            SocketBudget socketBudget,
+            String address,
+            int bodyLimit,
+            Handler handler) {
+        return start(worker, buffers, socketBudget, address, path -> bodyLimit, handler);
+    }
+
     /**
      * Starts to listen on an address.
      *
@@ -122,7 +139,7 @@
             ByteBufferPool buffers,
             SocketBudget socketBudget,
             String address,
-            int bodyLimit,
+            BodyLimit bodyLimit,
             Handler handler) {
         int colon = address.lastIndexOf(':');
         InetSocketAddress socketAddress =
@@ -132,7 +149,7 @@
         HttpOpenListener listener = new HttpOpenListener(buffers, SERVER_OPTIONS);
         listener.setRootHandler(exchange -> {
             countConnection(socketBudget, exchange.getConnection());
-            receiveBody(exchange, socketBudget, bodyLimit, handler);
+            receiveBody(exchange, socketBudget, bodyLimit.bytesFor(exchange.getRequestPath()), handler);
         });
         OptionMap socketOptions = OptionMap.builder()
                 .set(Options.TCP_NODELAY, true)
