The list of an agent's attempts has a class of its own

Change: ListedAttempts holds what an agent lists, which ended attempts it may forget, and the starts that were held back. No change of behaviour.

--- a/src/main/java/org/gullway/coordination/agents/AgentConditionPlanner.java
+++ b/src/main/java/org/gullway/coordination/agents/AgentConditionPlanner.java
@@ -57,7 +57,9 @@
     }
 
     private static boolean needsHigherToken(AgentState agent, long fencingToken) {
-        return Math.max(agent.highestUnknownStartToken(), agent.fencingTokenToSurpass()) >= fencingToken;
+        long needed = Math.max(
+                agent.highestUnknownStartToken(), agent.listedAttempts().fencingTokenToSurpass());
+        return needed >= fencingToken;
     }
 
     private boolean mayNeedRecordChange(String name) {
--- a/src/main/java/org/gullway/coordination/agents/AgentState.java
+++ b/src/main/java/org/gullway/coordination/agents/AgentState.java
@@ -1,38 +1,26 @@
 package org.gullway.coordination.agents;
 
 import java.time.Instant;
-import java.util.HashMap;
 import java.util.Map;
 import java.util.function.Consumer;
 import org.gullway.coordination.model.AttemptId;
 import org.gullway.coordination.model.MachineRecord;
 import org.gullway.protocol.Heartbeat;
-import org.gullway.protocol.MessageLimits;
 import org.gullway.protocol.TaskStatus;
-import org.slf4j.Logger;
-import org.slf4j.LoggerFactory;
 
 /**
  * The state of one agent as known to this controller: the agent's newest message, and the commands, completion reports
  * and reroutes that are still open.
  */
 final class AgentState {
-    private static final Logger LOG = LoggerFactory.getLogger(AgentState.class);
-
     private final CommandChannel commands = new CommandChannel();
     private final CompletionReports completionReports = new CompletionReports();
     private final TaskFailures failures = new TaskFailures();
     private final RerouteState reroute = new RerouteState();
+    private final ListedAttempts listedAttempts = new ListedAttempts();
     private final Consumer<Instant> addWakeup;
 
     private Heartbeat lastMessage;
-    private Map<AttemptId, TaskStatus> tasks = Map.of();
-    /**
-     * For each attempt that ended without success: the fencing token that the agent reported when this controller
-     * first saw the end.
-     */
-    private final Map<AttemptId, Long> fencingTokenAtEnd = new HashMap<>();
-
     private Instant contactTimeoutStart;
     private Instant lastMessageAt = Instant.MIN;
     private boolean outboundPartitioned;
@@ -44,8 +32,6 @@
      */
     private long highestUnknownStartToken;
 
-    private int heldBackStarts;
-
     private Instant nextWakeup = Instant.MIN;
 
     /**
@@ -74,6 +60,10 @@
         return reroute;
     }
 
+    ListedAttempts listedAttempts() {
+        return listedAttempts;
+    }
+
     /**
      * Handles a heartbeat. Returns false and changes nothing if this message or a newer one has been handled before.
      */
@@ -107,7 +97,7 @@
             return false;
         }
         if (lastMessage != null && lastMessage.agentEpoch() != heartbeat.agentEpoch()) {
-            fencingTokenAtEnd.clear();
+            listedAttempts.onNewAgentEpoch();
             completionReports.clear();
             spotTerminationAt = null;
         }
@@ -119,42 +109,13 @@
         contactTimeoutStart = now;
         lastMessageAt = now;
         if (!unchanged) {
-            updateTasks(heartbeat);
+            completionReports.retainAll(listedAttempts.update(heartbeat));
             wakeAt(now);
         }
         updateSpotNotice(heartbeat, now);
         return true;
     }
 
-    private void updateTasks(Heartbeat heartbeat) {
-        Map<AttemptId, TaskStatus> next = new HashMap<>();
-        for (TaskStatus task : heartbeat.tasks()) {
-            AttemptId id = new AttemptId(task.task(), task.attempt());
-            next.put(id, task);
-            if (LOG.isDebugEnabled()) {
-                logPhaseChange(tasks.get(id), task, heartbeat.machine());
-            }
-            if (task.isEnded() && task.cause() != TaskStatus.Cause.DONE) {
-                fencingTokenAtEnd.putIfAbsent(id, heartbeat.fencingToken());
-            }
-        }
-        fencingTokenAtEnd.keySet().retainAll(next.keySet());
-        completionReports.retainAll(next.keySet());
-        tasks = next;
-    }
-
-    private static void logPhaseChange(TaskStatus before, TaskStatus task, String machine) {
-        if (before == null || before.phase() != task.phase()) {
-            LOG.debug(
-                    "task changed its phase machine={} task={} attempt={} phase={} cause={}",
-                    machine,
-                    task.task(),
-                    task.attempt(),
-                    task.phase(),
-                    task.cause());
-        }
-    }
-
     private void updateSpotNotice(Heartbeat heartbeat, Instant now) {
         if (heartbeat.spotNotice() == null) {
             spotTerminationAt = null;
@@ -170,7 +131,7 @@
     }
 
     Map<AttemptId, TaskStatus> tasks() {
-        return tasks;
+        return listedAttempts.tasks();
     }
 
     /**
@@ -222,14 +183,9 @@
         highestUnknownStartToken = Math.max(highestUnknownStartToken, fencingToken);
     }
 
-    /**
-     * Returns whether the agent may forget an ended attempt. An attempt that did not succeed is kept until the agent
-     * has confirmed a higher fencing token than it had when the end was first seen. Until then, a duplicate start
-     * could still arrive and run the forgotten attempt again.
-     */
+    /** Returns whether the agent may forget an ended attempt, see {@link ListedAttempts#mayForget}. */
     boolean mayForget(AttemptId id, TaskStatus task) {
-        return task.cause() == TaskStatus.Cause.DONE
-                || lastMessage.fencingToken() > fencingTokenAtEnd.getOrDefault(id, Long.MAX_VALUE);
+        return listedAttempts.mayForget(id, task, lastMessage.fencingToken());
     }
 
     /**
@@ -245,38 +201,6 @@
         }
     }
 
-    /** Records how many starts were left out of the agent's commands, since its heartbeat cannot list more attempts. */
-    void onStartsPlanned(int heldBack) {
-        heldBackStarts = heldBack;
-    }
-
-    boolean hasHeldBackStarts() {
-        return heldBackStarts > 0;
-    }
-
-    /**
-     * Returns whether the agent lists so many attempts that those which ended have to be forgotten before further
-     * attempts can be started.
-     */
-    private boolean isListNearlyFull() {
-        return tasks.size() > MessageLimits.MAX_PLACED_ATTEMPTS;
-    }
-
-    /**
-     * Returns the fencing token that the agent has to surpass so that the list of its attempts can be shortened, or 0
-     * if it need not be. See {@link #mayForget}.
-     */
-    long fencingTokenToSurpass() {
-        if (!isListNearlyFull()) {
-            return 0;
-        }
-        long highest = 0;
-        for (long token : fencingTokenAtEnd.values()) {
-            highest = Math.max(highest, token);
-        }
-        return highest;
-    }
-
     /**
      * Returns whether a start with unknown outcome, a spot notice, failed tasks or a long list of attempts may require
      * a change of records.
@@ -285,8 +209,8 @@
         return highestUnknownStartToken != 0
                 || spotTerminationAt != null
                 || !failures.isEmpty()
-                || hasHeldBackStarts()
-                || isListNearlyFull();
+                || listedAttempts.hasHeldBackStarts()
+                || listedAttempts.isNearlyFull();
     }
 
     /** Makes the agent due for reconciliation at this time, unless it is due earlier. */
--- a/src/main/java/org/gullway/coordination/agents/CommandDispatcher.java
+++ b/src/main/java/org/gullway/coordination/agents/CommandDispatcher.java
@@ -117,7 +117,7 @@
         boolean assignedInRecordedEpoch = agents.isAssignedInRecordedEpoch(record, agent);
         boolean tokenConfirmed = assignedInRecordedEpoch && agent.hasConfirmedFencingToken(record);
         PlannedCommands planned = tokenConfirmed ? planner.startsAndStops(record, agent) : PlannedCommands.NONE;
-        agent.onStartsPlanned(planned.heldBackStarts());
+        agent.listedAttempts().onStartsPlanned(planned.heldBackStarts());
         agents.addIfRecordChangeCandidate(record.name(), agent);
         List<AgentCommand> commands = planned.commands();
         // A probe is a batch without commands. The response confirms the fencing token and lists the agent's tasks.
@@ -145,7 +145,7 @@
         Heartbeat last = agent.lastMessage();
         boolean epochUnknown = last == null || last.agentEpoch() < record.agentEpoch();
         // Starts that are held back wait until the agent may forget ended attempts, which requires a higher token.
-        boolean waitsForToken = !tokenConfirmed || agent.hasHeldBackStarts();
+        boolean waitsForToken = !tokenConfirmed || agent.listedAttempts().hasHeldBackStarts();
         return epochUnknown
                 || (assignedInRecordedEpoch && waitsForToken && last.fencingToken() < clusterState.fencingToken());
     }
--- a/src/main/java/org/gullway/coordination/agents/ExcessPlacementPlanner.java
+++ b/src/main/java/org/gullway/coordination/agents/ExcessPlacementPlanner.java
@@ -28,7 +28,7 @@
     }
 
     void plan(Transaction transaction, MachineRecord record, AgentState agent) {
-        if (!agent.hasHeldBackStarts() || !agent.hasConfirmedFencingToken(record)) {
+        if (!agent.listedAttempts().hasHeldBackStarts() || !agent.hasConfirmedFencingToken(record)) {
             return;
         }
         Map<String, Set<Placement>> excess = excessPlacements(record, agent);
--- /dev/null
+++ b/src/main/java/org/gullway/coordination/agents/ListedAttempts.java
@@ -0,0 +1,108 @@
+package org.gullway.coordination.agents;
+
+import java.util.HashMap;
+import java.util.Map;
+import java.util.Set;
+import org.gullway.coordination.model.AttemptId;
+import org.gullway.protocol.Heartbeat;
+import org.gullway.protocol.MessageLimits;
+import org.gullway.protocol.TaskStatus;
+import org.slf4j.Logger;
+import org.slf4j.LoggerFactory;
+
+/**
+ * The attempts that an agent listed in its newest message. An agent lists an attempt until it is told to forget it, and
+ * one message can list at most {@link MessageLimits#MAX_LISTED_ATTEMPTS} attempts.
+ */
+final class ListedAttempts {
+    private static final Logger LOG = LoggerFactory.getLogger(ListedAttempts.class);
+
+    private Map<AttemptId, TaskStatus> tasks = Map.of();
+    /**
+     * For each attempt that ended without success: the fencing token that the agent reported when this controller
+     * first saw the end.
+     */
+    private final Map<AttemptId, Long> fencingTokenAtEnd = new HashMap<>();
+
+    private int heldBackStarts;
+
+    Map<AttemptId, TaskStatus> tasks() {
+        return tasks;
+    }
+
+    /** Replaces the list by that of a newer message and returns the ids of the attempts in it. */
+    Set<AttemptId> update(Heartbeat heartbeat) {
+        Map<AttemptId, TaskStatus> next = new HashMap<>();
+        for (TaskStatus task : heartbeat.tasks()) {
+            AttemptId id = new AttemptId(task.task(), task.attempt());
+            next.put(id, task);
+            if (LOG.isDebugEnabled()) {
+                logPhaseChange(tasks.get(id), task, heartbeat.machine());
+            }
+            if (task.isEnded() && task.cause() != TaskStatus.Cause.DONE) {
+                fencingTokenAtEnd.putIfAbsent(id, heartbeat.fencingToken());
+            }
+        }
+        fencingTokenAtEnd.keySet().retainAll(next.keySet());
+        tasks = next;
+        return next.keySet();
+    }
+
+    private static void logPhaseChange(TaskStatus before, TaskStatus task, String machine) {
+        if (before == null || before.phase() != task.phase()) {
+            LOG.debug(
+                    "task changed its phase machine={} task={} attempt={} phase={} cause={}",
+                    machine,
+                    task.task(),
+                    task.attempt(),
+                    task.phase(),
+                    task.cause());
+        }
+    }
+
+    /** Called when the agent has begun a new epoch, in which it has forgotten all attempts of earlier ones. */
+    void onNewAgentEpoch() {
+        fencingTokenAtEnd.clear();
+    }
+
+    /**
+     * Returns whether the agent may forget an ended attempt. An attempt that did not succeed is kept until the agent
+     * has confirmed a higher fencing token than it had when the end was first seen. Until then, a duplicate start
+     * could still arrive and run the forgotten attempt again.
+     *
+     * @param confirmedToken the fencing token in the agent's newest message
+     */
+    boolean mayForget(AttemptId id, TaskStatus task, long confirmedToken) {
+        return task.cause() == TaskStatus.Cause.DONE
+                || confirmedToken > fencingTokenAtEnd.getOrDefault(id, Long.MAX_VALUE);
+    }
+
+    /** Records how many starts were left out of the agent's commands, since it cannot list more attempts. */
+    void onStartsPlanned(int heldBack) {
+        heldBackStarts = heldBack;
+    }
+
+    boolean hasHeldBackStarts() {
+        return heldBackStarts > 0;
+    }
+
+    /** Returns whether ended attempts have to be forgotten soon so that further attempts can be started. */
+    boolean isNearlyFull() {
+        return tasks.size() > MessageLimits.MAX_PLACED_ATTEMPTS;
+    }
+
+    /**
+     * Returns the fencing token that the agent has to surpass so that the list can be shortened, or 0 if it need not
+     * be. See {@link #mayForget}.
+     */
+    long fencingTokenToSurpass() {
+        if (!isNearlyFull()) {
+            return 0;
+        }
+        long highest = 0;
+        for (long token : fencingTokenAtEnd.values()) {
+            highest = Math.max(highest, token);
+        }
+        return highest;
+    }
+}
