A request for cancellations lists no more jobs than fit into it

What callers would see: in an outage of the state store with some 2,700 cancelled jobs that still have tasks and have ids of 22 characters, peers answer every request for cancellations with 400; leases of agents are then not renewed and end, with all tasks. Cause: the number of ids was limited to 4,000, whatever their length. Evidence: PeerMessagesTest#knownCancellationsThatDoNotFitIntoOneRequestAreLeftOut failed before: a request with 4,000 such ids has 96,003 bytes. Change: the ids are counted in bytes, against the limit of requests. Jobs that are left out appear in the response, as those beyond 4,000 did before.

--- a/src/main/java/org/gullway/protocol/PeerCancellations.java
+++ b/src/main/java/org/gullway/protocol/PeerCancellations.java
@@ -21,7 +21,9 @@
  */
 public record PeerCancellations(String node, long incarnationNumber, boolean complete, List<CancelledJob> jobs) {
     private static final int VERSION = 1;
-    private static final int MAX_KNOWN_JOBS = 4000;
+    /** A request without job ids: the version and their number. */
+    private static final int KNOWN_HEADER_BYTES = 1 + Short.BYTES;
+
     private static final int CONTENT_BYTES_THRESHOLD = 40 * 1024;
     private static final int HEADER_BYTES = 64;
     private static final int EXPECTED_JOB_ID_BYTES = 16;
@@ -41,21 +43,33 @@
     public record CancelledAttempt(int task, long attempt, String machine, long agentEpoch) {}
 
     /**
-     * Encodes a request, which lists the cancelled jobs that the requesting controller knows already. Jobs beyond
-     * {@link #MAX_KNOWN_JOBS} are left out, so the response may contain them.
+     * Encodes a request, which lists the cancelled jobs that the requesting controller knows already. Jobs that do not
+     * fit into one request are left out, so the response may contain them.
      */
     public static byte[] encodeKnownJobs(Collection<String> jobs) {
-        return PeerMessages.encode(VERSION, EXPECTED_JOB_ID_BYTES * jobs.size(), out -> {
-            out.writeShort(Math.min(jobs.size(), MAX_KNOWN_JOBS));
-            int remaining = MAX_KNOWN_JOBS;
-            for (String job : jobs) {
-                if (remaining-- > 0) {
-                    out.writeUTF(job);
-                }
+        List<String> fitting = firstThatFit(jobs);
+        return PeerMessages.encode(VERSION, EXPECTED_JOB_ID_BYTES * fitting.size(), out -> {
+            out.writeShort(fitting.size());
+            for (String job : fitting) {
+                out.writeUTF(job);
             }
         });
     }
 
+    /** Job ids are ASCII, so each character takes one byte. */
+    private static List<String> firstThatFit(Collection<String> jobs) {
+        List<String> fitting = new ArrayList<>();
+        int bytes = KNOWN_HEADER_BYTES;
+        for (String job : jobs) {
+            bytes += Short.BYTES + job.length();
+            if (bytes > MessageLimits.MAX_MESSAGE_BYTES) {
+                break;
+            }
+            fitting.add(job);
+        }
+        return fitting;
+    }
+
     /** Decodes the job ids in a request of {@link #encodeKnownJobs}. */
     public static Set<String> decodeKnownJobs(byte[] body) throws MalformedMessageException {
         return PeerMessages.decode(body, VERSION, KNOWN_CONTENT, PeerCancellations::readJobIds);
--- a/src/test/java/org/gullway/protocol/PeerMessagesTest.java
+++ b/src/test/java/org/gullway/protocol/PeerMessagesTest.java
@@ -77,6 +77,20 @@
         }
     }
 
+    /** Guards against a request that peers reject for as long as the cancellations last, so that leases run out. */
+    @Test
+    void knownCancellationsThatDoNotFitIntoOneRequestAreLeftOut() throws MalformedMessageException {
+        List<String> jobs = new ArrayList<>();
+        for (int i = 0; i < 4000; i++) {
+            jobs.add(String.format("run-%018d", i));
+        }
+        byte[] request = PeerCancellations.encodeKnownJobs(jobs);
+        assertThat(request.length).isBetween(60 * 1024, 64 * 1024);
+        assertThat(PeerCancellations.decodeKnownJobs(request))
+                .hasSizeGreaterThan(2700)
+                .isSubsetOf(jobs);
+    }
+
     @Test
     void cancellationsBeyondOneMessageAreMarkedIncomplete() throws MalformedMessageException {
         List<PeerCancellations.CancelledJob> cancelledJobs = Collections.nCopies(
