Transactions are counted in full, so that the store never rejects one as too large

What callers would see: the leader, or the owner of many jobs, commits nothing any more: the state store answers 400 to a transaction of more than 64 KiB or with a value of more than 16 KiB as a whole, and the next cycle plans the same. Cause: sizes were estimated. (1) Several jobs of a best-effort queue were added with few placements and grew afterwards, without a further check. (2) A preemption asked for a number of changes, not for their sizes. (3) The set of cordoned machines had no bound: the cordon of each machine with a stopping task is kept. (4) A record could be larger than estimated: 36 bytes a placement are exceeded by long task and attempt numbers, late times and marks of stopped tasks; 10 bytes a range by tasks beyond 10,000; texts and shards had flat estimates. (5) Conditions and keys were not counted. Change: each record states an upper bound of its size as JSON, computed from its texts and numbers, with room for later marks. A transaction counts values, keys and conditions, sets space aside for placements while they are planned, and asks for the sizes of all jobs that a preemption changes. Cordons that do not fit are left out.

--- a/src/main/java/org/gullway/coordination/model/ChangeSet.java
+++ b/src/main/java/org/gullway/coordination/model/ChangeSet.java
@@ -4,13 +4,29 @@
 import java.util.LinkedHashSet;
 import java.util.Map;
 import java.util.Set;
+import org.gullway.protocol.JsonSize;
+import org.gullway.protocol.MessageLimits;
 
 /** The changes and conditions of one transaction, counted against the limits of the state store. */
 final class ChangeSet {
+    /** The encoded transaction without its conditions and changes. */
+    private static final int ENVELOPE_BYTES = "{\"guards\":[],\"then\":[]}".length();
+    /** A condition without its key, including the separator. */
+    private static final int CONDITION_BYTES = ("{\"k\":,\"mark\":" + Long.MAX_VALUE + "},").length();
+    /** A change without its key and its value, including the separator. */
+    private static final int CHANGE_BYTES = ("{\"remove\":,\"v\":,\"tether\":" + Long.MAX_VALUE + "},").length();
+    /** The state store allows keys of this many characters. */
+    private static final int MAX_KEY_CHARACTERS = 200;
+    /** A further change without its value: its key is in the change and in a condition, and there is one other condition. */
+    private static final int FURTHER_CHANGE_BYTES = CHANGE_BYTES + 2 * CONDITION_BYTES + 3 * MAX_KEY_CHARACTERS;
+
     private final Transaction.Limits limits;
     private final Map<String, StoreRecord> changes = new LinkedHashMap<>();
     private final Set<String> conditions = new LinkedHashSet<>();
-    private int bytes;
+    /** Upper bound for the size of the transaction as JSON. */
+    private int bytes = ENVELOPE_BYTES;
+    /** Space for placements that are planned, but not part of the changes yet. */
+    private int reservedBytes;
 
     ChangeSet(Transaction.Limits limits) {
         this.limits = limits;
@@ -39,33 +55,53 @@
     }
 
     void requireUnchanged(String key) {
-        conditions.add(key);
+        if (conditions.add(key)) {
+            bytes += CONDITION_BYTES + JsonSize.ofText(key);
+        }
     }
 
     void put(String key, StoreRecord value) {
-        conditions.add(key);
-        bytes += sizeOf(value) - sizeOf(changes.get(key));
-        changes.put(key, value);
+        replace(key, value);
     }
 
     void remove(String key) {
-        conditions.add(key);
-        bytes -= sizeOf(changes.get(key));
-        changes.put(key, null);
+        replace(key, null);
+    }
+
+    private void replace(String key, StoreRecord value) {
+        requireUnchanged(key);
+        if (!changes.containsKey(key)) {
+            bytes += CHANGE_BYTES + JsonSize.ofText(key);
+        }
+        bytes += sizeOf(value) - sizeOf(changes.get(key));
+        changes.put(key, value);
     }
 
     private static int sizeOf(StoreRecord value) {
-        return value == null ? 0 : value.estimatedEncodedBytes();
+        return value == null ? 0 : value.maxEncodedBytes();
+    }
+
+    /** Sets space aside for a placement that a later change adds; negative to release it. */
+    void reserveBytes(int count) {
+        reservedBytes += count;
     }
 
-    /** Whether this many further changes fit, each with one condition besides that on the changed key. */
+    /**
+     * Whether this many further changes fit, each with one condition besides that on the changed key. One of the new
+     * values may have the maximum size; the others must be small.
+     */
     boolean hasCapacityFor(int furtherChanges) {
+        return hasKeysFor(furtherChanges) && freeBytes(furtherChanges) >= limits.valueBytes();
+    }
+
+    /** Whether this many further keys may be changed, each with one condition besides that on the changed key. */
+    boolean hasKeysFor(int furtherChanges) {
         return changes.size() + furtherChanges <= limits.changes()
-                && conditions.size() + 2 * furtherChanges <= limits.conditions()
-                && hasFreeBytes();
+                && conditions.size() + 2 * furtherChanges <= limits.conditions();
     }
 
-    boolean hasFreeBytes() {
-        return bytes < Transaction.Limits.SOFT_MAX_BYTES;
+    /** The space for further values that is left if this many further keys are changed. */
+    int freeBytes(int furtherChanges) {
+        return MessageLimits.MAX_MESSAGE_BYTES - bytes - reservedBytes - furtherChanges * FURTHER_CHANGE_BYTES;
     }
 }
--- a/src/main/java/org/gullway/coordination/model/ClusterState.java
+++ b/src/main/java/org/gullway/coordination/model/ClusterState.java
@@ -1,9 +1,7 @@
 package org.gullway.coordination.model;
 
 import java.util.Collection;
-import java.util.Collections;
 import java.util.HashSet;
-import java.util.LinkedHashMap;
 import java.util.Map;
 import java.util.Set;
 import java.util.TreeMap;
@@ -13,9 +11,6 @@
  * versions that transactions compare against, and indexes derived from the records.
  */
 public final class ClusterState {
-    /** Bounds the memory for cancelled jobs that ended long ago; beyond it the oldest entry is evicted. */
-    private static final int MAX_CANCELLED_JOBS = 10_000;
-
     /** Names of machines whose records or placements changed after the last {@link #takeChangedMachines}. */
     private final Set<String> changedMachines = new HashSet<>();
 
@@ -26,13 +21,8 @@
     /** Ids of jobs to check for lost placements: the record changed, or a machine is gone or in a new agent epoch. */
     private final Set<String> uncheckedJobs = new HashSet<>();
 
-    /** Ids of cancelled jobs, kept across full reads and after the job's end, since cancellation is final. */
-    private final Set<String> cancelledJobs = Collections.newSetFromMap(new LinkedHashMap<>() {
-        @Override
-        protected boolean removeEldestEntry(Map.Entry<String, Boolean> eldest) {
-            return size() > MAX_CANCELLED_JOBS;
-        }
-    });
+    /** Kept across full reads. */
+    private final CancelledJobIds cancelledJobs = new CancelledJobIds();
 
     private final Map<String, QuotaPartition> quotaPartitions = new TreeMap<>();
     private final MemberIndex members = new MemberIndex();
@@ -213,6 +203,11 @@
         return machineIndex.machine(name);
     }
 
+    /** The sizes of the longest fields of machines that placements contain. */
+    LongestMachineFields longestMachineFields() {
+        return machineIndex.longestFields();
+    }
+
     /** All shards, in ascending order of id. */
     public Collection<MachineShard> shards() {
         return machineIndex.shards();
--- a/src/main/java/org/gullway/coordination/model/IntegerRanges.java
+++ b/src/main/java/org/gullway/coordination/model/IntegerRanges.java
@@ -4,6 +4,7 @@
 import it.unimi.dsi.fastutil.ints.IntList;
 import java.util.Arrays;
 import java.util.BitSet;
+import org.gullway.protocol.JsonSize;
 
 /** An immutable set of task numbers, stored as sorted ranges. */
 public final class IntegerRanges {
@@ -116,9 +117,13 @@
         return bounds.clone();
     }
 
-    /** The number of ranges that the set is stored as. */
-    int rangeCount() {
-        return bounds.length / 2;
+    /** The size of the bounds as JSON numbers, each with a separator. */
+    int jsonBytes() {
+        int bytes = bounds.length;
+        for (int bound : bounds) {
+            bytes += JsonSize.ofInteger(bound);
+        }
+        return bytes;
     }
 
     @Override
--- a/src/main/java/org/gullway/coordination/model/JobRecord.java
+++ b/src/main/java/org/gullway/coordination/model/JobRecord.java
@@ -37,14 +37,7 @@
         List<Placement> livePlacements)
         implements StoreRecord {
 
-    /** Upper bound for the encoded size of one placement, as the state store measures it. */
-    public static final int PLACEMENT_BYTES = 36;
-
     private static final Duration STALLED_AFTER = Duration.ofSeconds(100);
-    /** Upper bound for the encoded size of one range of completed tasks. */
-    private static final int RANGE_BYTES = 10;
-    /** Upper bound for the encoded size of all other fields together. */
-    private static final int FIXED_BYTES = 1500;
 
     /** Order of stalled jobs: jobs without a completed task first, then larger tasks first, then older jobs first. */
     public static final Comparator<JobRecord> STALLED_ORDER = Comparator.<JobRecord>comparingInt(
@@ -87,8 +80,8 @@
     }
 
     @Override
-    public int estimatedEncodedBytes() {
-        return FIXED_BYTES + livePlacements.size() * PLACEMENT_BYTES + completedTasks.rangeCount() * RANGE_BYTES;
+    public int maxEncodedBytes() {
+        return JobRecordSize.maxBytes(this);
     }
 
     /** Whether a user has cancelled the job; its tasks may still be stopping. */
@@ -188,11 +181,6 @@
         return task;
     }
 
-    /** How many more placements the record can hold if its value may have this size. */
-    public int remainingPlacements(int valueBytes) {
-        return Math.max(0, (valueBytes - estimatedEncodedBytes()) / PLACEMENT_BYTES);
-    }
-
     /**
      * This record without the attempts that have ended. Tasks that were not completed wait again; a service never
      * completes a task.
--- a/src/main/java/org/gullway/coordination/model/MachineIndex.java
+++ b/src/main/java/org/gullway/coordination/model/MachineIndex.java
@@ -14,6 +14,7 @@
     private final Map<String, Long> machineVersions = new HashMap<>();
     private final Map<String, String> shardOf = new HashMap<>();
     private final Set<String> changedMachines;
+    private LongestMachineFields longestFields = LongestMachineFields.NONE;
 
     /** @param changedMachines collects the names of machines whose records change */
     MachineIndex(Set<String> changedMachines) {
@@ -65,9 +66,14 @@
             machineVersions.put(name, version);
             shardOf.put(name, id);
             changedMachines.add(name);
+            longestFields = longestFields.with(machine);
         }
     }
 
+    LongestMachineFields longestFields() {
+        return longestFields;
+    }
+
     Collection<MachineRecord> machines() {
         return machines.values();
     }
--- a/src/main/java/org/gullway/coordination/model/MachineRecord.java
+++ b/src/main/java/org/gullway/coordination/model/MachineRecord.java
@@ -1,6 +1,8 @@
 package org.gullway.coordination.model;
 
 import java.time.Instant;
+import org.gullway.protocol.JsonSize;
+import org.gullway.protocol.MessageFields;
 
 /**
  * The record of a provisioned machine, kept until the cloud provider confirms that the machine no longer exists.
@@ -25,6 +27,9 @@
         MachineLifecycle lifecycle,
         Instant provisionedAt) {
 
+    /** The encoded machine without its texts and its agent epoch. */
+    private static final String OTHER_FIELDS = "[,,,false,,\"LEAVING\"," + Long.MAX_VALUE + ",\"\"],";
+
     /** Whether a machine accepts new tasks, and when it is released. */
     public enum MachineLifecycle {
         /** Accepts new tasks. */
@@ -50,6 +55,18 @@
                 name, null, type, zone, spot, controller, 0, fencingToken, MachineLifecycle.ACTIVE, provisionedAt);
     }
 
+    /** Upper bound for the encoded size of any machine in its shard. */
+    static final int MAX_ENCODED_BYTES = OTHER_FIELDS.length()
+            + JsonSize.ofInteger(Long.MAX_VALUE)
+            + 4 * JsonSize.maxOfText(MessageFields.MAX_TEXT_CHARACTERS);
+
+    /** Upper bound for the encoded size of the machine in its shard. */
+    int maxEncodedBytes() {
+        int bytes = OTHER_FIELDS.length() + JsonSize.ofInteger(agentEpoch);
+        bytes += JsonSize.ofText(name) + JsonSize.ofText(type) + JsonSize.ofText(zone);
+        return bytes + (address == null ? 0 : JsonSize.ofText(address));
+    }
+
     /** Hashes only the unique name, which is fast: machines are map keys in each scheduling cycle. */
     @Override
     public int hashCode() {
--- a/src/main/java/org/gullway/coordination/model/MachineShard.java
+++ b/src/main/java/org/gullway/coordination/model/MachineShard.java
@@ -19,12 +19,13 @@
      */
     public static final int MAX_MACHINES = 16;
 
-    /** Upper bound for the encoded size of one machine. */
-    private static final int MACHINE_BYTES = 120;
-
     @Override
-    public int estimatedEncodedBytes() {
-        return SMALL_RECORD_BYTES + machines.size() * MACHINE_BYTES;
+    public int maxEncodedBytes() {
+        int bytes = NUMBERS_BYTES + controller.maxEncodedBytes();
+        for (MachineRecord machine : machines) {
+            bytes += machine.maxEncodedBytes();
+        }
+        return bytes;
     }
 
     /** The machine of that name, or null if it is not in this shard. */
--- a/src/main/java/org/gullway/coordination/model/QuotaPartition.java
+++ b/src/main/java/org/gullway/coordination/model/QuotaPartition.java
@@ -2,6 +2,7 @@
 
 import java.util.Map;
 import java.util.TreeMap;
+import org.gullway.protocol.JsonSize;
 
 /**
  * The part of each team's quota that the holder of the partition may use. A team's amounts in all partitions never sum
@@ -10,6 +11,18 @@
 public record QuotaPartition(Map<String, Amount> amountByTeam) implements StoreRecord {
     public static final QuotaPartition EMPTY = new QuotaPartition(Map.of());
 
+    /** The encoded amounts of one team, without its name. */
+    private static final String LONGEST_AMOUNTS = ":[" + -Double.MAX_VALUE + "," + -Double.MAX_VALUE + "],";
+
+    @Override
+    public int maxEncodedBytes() {
+        int bytes = NUMBERS_BYTES;
+        for (String team : amountByTeam.keySet()) {
+            bytes += JsonSize.ofText(team) + LONGEST_AMOUNTS.length();
+        }
+        return bytes;
+    }
+
     /** A number of processors and GPUs. */
     public record Amount(double cpus, double gpus) {
         public static final Amount NONE = new Amount(0, 0);
--- a/src/main/java/org/gullway/coordination/model/Transaction.java
+++ b/src/main/java/org/gullway/coordination/model/Transaction.java
@@ -1,9 +1,11 @@
 package org.gullway.coordination.model;
 
 import java.time.Instant;
+import java.util.Collection;
 import java.util.List;
 import java.util.Map;
 import java.util.Set;
+import org.gullway.protocol.MessageLimits;
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
 
@@ -23,15 +25,10 @@
      *
      * @param changes maximum number of keys that it writes or removes
      * @param conditions maximum number of keys whose versions it compares
-     * @param valueBytes maximum size of one value
+     * @param valueBytes maximum size of one value; at most half of {@link MessageLimits#MAX_MESSAGE_BYTES}, so that a
+     *     transaction has room for more than one value
      */
     public record Limits(int changes, int conditions, int valueBytes) {
-        /**
-         * Once the new values total this many bytes, no further change is added. The store's limit is higher, which
-         * leaves room for the last change.
-         */
-        static final int SOFT_MAX_BYTES = 48 * 1024;
-
         /** The store allows this many conditions for each change that it allows. */
         private static final int CONDITIONS_PER_CHANGE = 4;
         /** A job that ends changes two keys: its record and its final state. */
@@ -39,7 +36,7 @@
 
         /** The limits set by the state store. */
         public Limits(int changes, int valueBytes) {
-            this(changes, CONDITIONS_PER_CHANGE * changes, valueBytes);
+            this(changes, CONDITIONS_PER_CHANGE * changes, Math.min(valueBytes, MessageLimits.MAX_MESSAGE_BYTES / 2));
         }
 
         /** These limits with at most {@code maxChanges} changes, but no fewer than the end of one job needs. */
@@ -161,7 +158,12 @@
     /** Whether a shard contains the machine and a change of its record still fits. */
     public boolean canPutMachine(String name) {
         String id = clusterState.shardOf(name);
-        return id != null && (changeSet.isChanged(StoreKeys.shard(id)) || hasCapacityFor(1));
+        if (id == null) {
+            return false;
+        }
+        return changeSet.isChanged(StoreKeys.shard(id))
+                ? changeSet.freeBytes(0) >= MachineRecord.MAX_ENCODED_BYTES
+                : hasCapacityFor(1);
     }
 
     /** Replaces the record of a machine that a shard contains. */
@@ -211,20 +213,61 @@
         return clusterState.quotaUsage(partition, team).gpus + usageDelta.ofQuota(partition, team).gpus;
     }
 
+    /** Maximum size of one value. */
+    public int maxValueBytes() {
+        return limits.valueBytes();
+    }
+
+    /**
+     * Whether changes of these jobs fit that make no record larger than {@link StoreRecord#maxEncodedBytes} of the
+     * present one, such as marks on placements that are to be stopped.
+     */
+    public boolean canPutJobs(Collection<JobRecord> changedJobs) {
+        int furtherChanges = 0;
+        int furtherBytes = 0;
+        for (JobRecord job : changedJobs) {
+            if (!changeSet.isChanged(StoreKeys.job(job.request().id()))) {
+                furtherChanges++;
+                furtherBytes += job.maxEncodedBytes();
+            }
+        }
+        return changeSet.hasKeysFor(furtherChanges) && changeSet.freeBytes(furtherChanges) >= furtherBytes;
+    }
+
     /** The number of further attempts of this job that fit into this transaction and into the job's record. */
     public int placeableTasks(JobRecord job) {
-        boolean fits = changeSet.isChanged(StoreKeys.job(job.request().id())) || hasCapacityFor(1);
-        return fits && changeSet.hasFreeBytes() ? job.remainingPlacements(limits.valueBytes()) : 0;
+        int recordBytes = job.maxEncodedBytes();
+        int freeBytes;
+        if (changeSet.isChanged(StoreKeys.job(job.request().id()))) {
+            freeBytes = changeSet.freeBytes(0);
+        } else if (changeSet.hasKeysFor(1)) {
+            freeBytes = changeSet.freeBytes(1) - recordBytes;
+        } else {
+            return 0;
+        }
+        int bytesForPlacements = Math.min(freeBytes, limits.valueBytes() - recordBytes);
+        return Math.max(0, bytesForPlacements / maxPlacementBytes(job));
+    }
+
+    /** Whether this transaction, which changes the job's record, has room for one more of its placements. */
+    public boolean hasRoomForPlacement(JobRecord job) {
+        return changeSet.freeBytes(0) >= maxPlacementBytes(job);
+    }
+
+    private int maxPlacementBytes(JobRecord job) {
+        return JobRecordSize.maxBytesOfNextPlacement(job, clusterState.longestMachineFields(), wallClockTime);
     }
 
-    /** Reserves resources and quota for one task that this transaction is about to place on a machine. */
+    /** Reserves resources, quota and space in this transaction for one task that it is about to place on a machine. */
     public void reserve(JobRecord job, MachineRecord machine) {
         usageDelta.addTask(job, machine.name());
+        changeSet.reserveBytes(maxPlacementBytes(job));
     }
 
     /** Cancels a reservation for a task that is not placed after all. */
     public void unreserve(JobRecord job, MachineRecord machine) {
         usageDelta.removeTask(job, machine.name());
+        changeSet.reserveBytes(-maxPlacementBytes(job));
     }
 
     /** Charges the job's placed tasks to another quota partition from this transaction on. */
@@ -249,6 +292,7 @@
                     job.attemptCount() + 1,
                     machines.stream().map(MachineRecord::name).toList());
         }
+        changeSet.reserveBytes(-machines.size() * maxPlacementBytes(job));
         putJob(job.withPlacements(machines, wallClockTime));
     }
 }
--- a/src/main/java/org/gullway/coordination/scheduling/CordonPlanner.java
+++ b/src/main/java/org/gullway/coordination/scheduling/CordonPlanner.java
@@ -64,18 +64,18 @@
      * #MAX_STALLED_JOBS} stalled best-effort jobs. Does nothing if the set stays the same, the transaction has no
      * capacity left, or the set may not change yet; an empty set is written without waiting for {@link #mayChange}.
      *
-     * <p>The size of the set is not limited here. Only {@link #machinesFor} limits its result to {@link
-     * CordonedMachines#MAX_MACHINES}, so the set may be larger.
+     * <p>Machines beyond those that one value of the state store can hold are left out, stalled jobs' machines last.
      *
      * @param forReserved names of the machines to cordon for reserved jobs
      */
     void cordon(Transaction transaction, Set<String> forReserved) {
-        Set<String> newCordons = new LinkedHashSet<>(forReserved);
-        newCordons.addAll(machinesForStalledJobs(transaction));
-        boolean changes = !newCordons.equals(clusterState.cordonedMachines());
-        if (changes && transaction.hasCapacityFor(1) && (newCordons.isEmpty() || mayChange(transaction))) {
+        Set<String> wanted = new LinkedHashSet<>(machinesForStalledJobs(transaction));
+        wanted.addAll(forReserved);
+        CordonedMachines next = CordonedMachines.firstThatFit(wanted, transaction.maxValueBytes());
+        boolean changes = !next.names().equals(clusterState.cordonedMachines());
+        if (changes && transaction.hasCapacityFor(1) && (next.names().isEmpty() || mayChange(transaction))) {
             changedAt = transaction.wallClockTime();
-            transaction.put(StoreKeys.CORDONED, new CordonedMachines(newCordons));
+            transaction.put(StoreKeys.CORDONED, next);
         }
     }
 
--- a/src/main/java/org/gullway/coordination/scheduling/JobPlacementPlan.java
+++ b/src/main/java/org/gullway/coordination/scheduling/JobPlacementPlan.java
@@ -41,7 +41,7 @@
     boolean planOneTask() {
         Transaction transaction = context.transaction();
         if (remainingTasks == 0
-                || (planned.isEmpty() && transaction.placeableTasks(job) == 0)
+                || (planned.isEmpty() ? transaction.placeableTasks(job) == 0 : !transaction.hasRoomForPlacement(job))
                 || quotas.remainingTasks(job, transaction) == 0) {
             return false;
         }
--- a/src/main/java/org/gullway/coordination/scheduling/PreemptionPlanner.java
+++ b/src/main/java/org/gullway/coordination/scheduling/PreemptionPlanner.java
@@ -48,6 +48,13 @@
             return new PreemptionOption(
                     machine, victims, victims.stream().mapToDouble(Victim::loss).sum());
         }
+
+        /** Returns the jobs of the victims, each once. */
+        Collection<JobRecord> victimJobs() {
+            Map<String, JobRecord> jobs = new HashMap<>();
+            victims.forEach(victim -> jobs.put(victim.job().request().id(), victim.job()));
+            return jobs.values();
+        }
     }
 
     PreemptionPlanner(
@@ -106,8 +113,7 @@
         }
         for (int remaining = tasks; remaining > 0; remaining--) {
             PreemptionOption option = options.poll();
-            if (option == null
-                    || !transaction.hasCapacityFor(Math.max(1, option.victims().size()))) {
+            if (option == null || !transaction.canPutJobs(option.victimJobs())) {
                 return false;
             }
             apply(option, job);
--- a/src/main/java/org/gullway/protocol/JobRequest.java
+++ b/src/main/java/org/gullway/protocol/JobRequest.java
@@ -74,6 +74,18 @@
 
     private static final Pattern ID = Pattern.compile("run-[0-9]{1,18}");
 
+    /** No amount is longer as text. */
+    private static final String LONGEST_AMOUNT = "1.2345678901234567E-308";
+
+    /** All fields with their longest values, except texts other than the id. */
+    private static final String LONGEST_FIELDS = "{\"name_id\":\"run-" + "9".repeat(MAX_ID_DIGITS)
+            + "\",\"herd\":,\"crew\":,\"shape\":\"service\",\"rank\":\"normal\",\"legs\":" + MAX_TASKS
+            + ",\"cpus\":" + LONGEST_AMOUNT + ",\"cards\":" + LONGEST_AMOUNT + ",\"mem_gb\":" + LONGEST_AMOUNT
+            + ",\"kit\":,\"image_gb\":" + LONGEST_AMOUNT
+            + ",\"breeds\":[],\"shore\":,\"same_place\":false,\"spread\":false,\"driftwood\":false,\"reckon_s\":"
+            + LONGEST_AMOUNT + ",\"waypoint_s\":" + LONGEST_AMOUNT + ",\"stow_s\":" + LONGEST_AMOUNT
+            + ",\"landfall_s\":" + LONGEST_AMOUNT + "}";
+
     public static boolean isValidId(String text) {
         return ID.matcher(text).matches();
     }
@@ -143,6 +155,19 @@
                 deadline);
     }
 
+    /** An upper bound for the size of this request as JSON. */
+    public int maxJsonBytes() {
+        int bytes = LONGEST_FIELDS.length();
+        bytes += JsonSize.ofText(jobClass) + JsonSize.ofText(team) + JsonSize.ofText(image);
+        bytes += zone == null ? 0 : JsonSize.ofText(zone);
+        if (machineTypes != null) {
+            for (String type : machineTypes) {
+                bytes += JsonSize.ofText(type) + 1;
+            }
+        }
+        return bytes;
+    }
+
     /** Encodes this request as the map that {@link #parse} decodes. */
     public ObjectNode toNode() {
         ObjectNode node = Cbor.map();
--- a/src/main/java/org/gullway/protocol/JsonSize.java
+++ b/src/main/java/org/gullway/protocol/JsonSize.java
@@ -18,7 +18,7 @@
     private JsonSize() {}
 
     /** Returns the largest size of a text with this many characters. */
-    static int maxOfText(int characters) {
+    public static int maxOfText(int characters) {
         return QUOTES + MAX_CHARACTER_BYTES * characters;
     }
 
--- a/src/main/java/org/gullway/protocol/MessageFields.java
+++ b/src/main/java/org/gullway/protocol/MessageFields.java
@@ -13,7 +13,7 @@
  */
 public final class MessageFields {
     private static final double MAX_AMOUNT = 1e9;
-    static final int MAX_TEXT_CHARACTERS = 200;
+    public static final int MAX_TEXT_CHARACTERS = 200;
 
     private final JsonNode map;
     private final String pathPrefix;
