Free resources are offered to peers if a waiting task fits into them

Cause: offers asked a rule of their own: a machine was offered if it had one CPU free. Less was never offered, although scale-out counts it as room and provisions nothing; more was offered although no waiting task fits. Evidence: two tests of BestEffortQueueTest failed before: 0.8 free CPUs were not offered for a task of 0.15, 2 free CPUs were offered for tasks of 4. Change: a machine is offered if the smallest task that waits in the queue of a peer fits into its usable CPUs.

--- a/src/main/java/org/gullway/coordination/scheduling/BestEffortQueue.java
+++ b/src/main/java/org/gullway/coordination/scheduling/BestEffortQueue.java
@@ -40,9 +40,14 @@
      * The best-effort jobs that have waiting tasks and are not backed off.
      *
      * @param ownJobs the jobs in this controller's queue
-     * @param peersHaveWaitingJobs whether there are such jobs in the queues of other controllers
+     * @param smallestPeerTaskCpus the CPUs of the smallest task of such jobs in the queues of other controllers;
+     *     infinite if there are none
      */
-    private record WaitingJobs(List<JobRecord> ownJobs, boolean peersHaveWaitingJobs) {}
+    private record WaitingJobs(List<JobRecord> ownJobs, double smallestPeerTaskCpus) {
+        boolean peersHaveWaitingJobs() {
+            return smallestPeerTaskCpus < Double.POSITIVE_INFINITY;
+        }
+    }
 
     /**
      * @param self the node name of this controller
@@ -108,22 +113,25 @@
             // rate.
             offerByMachine.values().removeIf(offer -> offer.declinedBy().isEmpty());
         }
-        return waiting.peersHaveWaitingJobs() ? peerOffers.outgoing(offerByMachine, transaction) : List.of();
+        return waiting.peersHaveWaitingJobs()
+                ? peerOffers.outgoing(offerByMachine, transaction, waiting.smallestPeerTaskCpus())
+                : List.of();
     }
 
     private WaitingJobs waitingJobs(Instant now) {
         List<JobRecord> ownJobs = new ArrayList<>();
-        boolean peersHaveWaitingJobs = false;
+        double smallestPeerTaskCpus = Double.POSITIVE_INFINITY;
         for (JobRecord job : clusterState.jobs()) {
             if (!job.isReserved() && job.waitingTasks() > 0 && !backoff.isBackedOff(job, now)) {
                 if (self.equals(job.owner())) {
                     ownJobs.add(job);
                 } else {
-                    peersHaveWaitingJobs = true;
+                    smallestPeerTaskCpus =
+                            Math.min(smallestPeerTaskCpus, job.request().cpus());
                 }
             }
         }
-        return new WaitingJobs(ownJobs, peersHaveWaitingJobs);
+        return new WaitingJobs(ownJobs, smallestPeerTaskCpus);
     }
 
     private void addMachinesWithFreeCpus(
--- a/src/main/java/org/gullway/coordination/scheduling/PeerOffers.java
+++ b/src/main/java/org/gullway/coordination/scheduling/PeerOffers.java
@@ -1,5 +1,7 @@
 package org.gullway.coordination.scheduling;
 
+import static org.gullway.coordination.placement.ResourceTolerance.EPSILON;
+
 import java.time.Duration;
 import java.time.Instant;
 import java.util.ArrayList;
@@ -23,8 +25,6 @@
      */
     private static final Duration SEND_INTERVAL = Duration.ofMillis(500);
 
-    private static final double MIN_OFFERED_CPUS = 1;
-
     private final ClusterState clusterState;
     private final PlacementConstraints constraints;
     private final String self;
@@ -90,11 +90,14 @@
      * Offers each machine that still has enough free CPUs to a random peer that is not in the offer's list of
      * controllers that declined it. Each peer gets at most {@link ResourceOffer#MAX_PER_MESSAGE} offers; a machine is
      * not offered in this round if the peer chosen for it already gets that many.
+     *
+     * @param smallestTaskCpus the CPUs of the smallest task that waits in the queue of a peer
      */
-    List<OutgoingOffers> outgoing(Map<MachineRecord, ResourceOffer> offerByMachine, Transaction transaction) {
+    List<OutgoingOffers> outgoing(
+            Map<MachineRecord, ResourceOffer> offerByMachine, Transaction transaction, double smallestTaskCpus) {
         Map<String, List<ResourceOffer>> offersByPeer = new TreeMap<>();
         offerByMachine.forEach((machine, offer) -> {
-            if (constraints.freeCpus(machine, transaction) >= MIN_OFFERED_CPUS) {
+            if (constraints.freeCpus(machine, transaction) + EPSILON >= smallestTaskCpus) {
                 addOffer(machine, offer.declinedBy(), offersByPeer);
             }
         });
--- a/src/test/java/org/gullway/coordination/scheduling/BestEffortQueueTest.java
+++ b/src/test/java/org/gullway/coordination/scheduling/BestEffortQueueTest.java
@@ -285,6 +285,35 @@
         assertThat(peerTransaction.conditions()).contains(StoreKeys.member("perch-1"), StoreKeys.job("run-000001"));
     }
 
+    /** Leaves this many of the machine's 16 CPUs free, while a job of a peer with tasks of this size waits. */
+    private List<BestEffortQueue.OutgoingOffers> offersOf(double freeCpus, double waitingTaskCpus) {
+        JobRecord running = JobRecord.accepted(
+                TestFixtures.request("run-000001", "red", Priority.NORMAL, 1, 16 - freeCpus),
+                "perch-0",
+                TestFixtures.WALL_CLOCK_TIME);
+        clusterState.put(
+                StoreKeys.job("run-000001"), TestFixtures.placed(running, TestFixtures.WALL_CLOCK_TIME, "vm-1"), 11);
+        clusterState.put(
+                StoreKeys.job("run-000002"),
+                JobRecord.accepted(
+                        TestFixtures.request("run-000002", "red", Priority.NORMAL, 1, waitingTaskCpus),
+                        "perch-1",
+                        TestFixtures.WALL_CLOCK_TIME),
+                12);
+        return bestEffortQueue.schedule(newTransaction(), () -> List.of(machine), Instant.EPOCH);
+    }
+
+    /** Guards against small tasks that wait for room that counts as free but is never offered to their owner. */
+    @Test
+    void aFractionOfACpuIsOfferedIfASmallTaskOfAPeerFits() {
+        assertThat(offersOf(0.8, 0.15)).hasSize(1);
+    }
+
+    @Test
+    void resourcesTooSmallForTheTasksOfPeersAreNotOffered() {
+        assertThat(offersOf(2, 4)).isEmpty();
+    }
+
     private void acceptScavenger(String id, int tasks, long version) {
         clusterState.put(
                 StoreKeys.job(id),
