Tasks that their job's record has no room for do not count as waiting for resources

Cause: a value of the state store is limited, so a job's record lists a limited number of placements. Only the placement itself asked this rule. Scavenger scheduling, preemption, cordons, offers, quota partitions, scale-out, scale-in and spare capacity counted all waiting tasks, so resources were kept, released or rented for tasks that cannot start before others have ended. Change: RecordCapacity is the one rule for how many tasks of a job can be placed at a time. It uses the bound of the record's size that transactions use, with a fast answer for jobs whose tasks all fit. Why it works: whoever counts waiting tasks asks the rule that the placement asks; RecordCapacityTest checks for generated jobs that both give the same number.

--- a/src/main/java/org/gullway/controller/FleetComponents.java
+++ b/src/main/java/org/gullway/controller/FleetComponents.java
@@ -16,6 +16,7 @@
                 environment.clusterState(),
                 placement.constraints(),
                 placement.quotas(),
+                placement.recordCapacity(),
                 new ScalingPolicy(
                         operatorSettings.spareCapacityFraction(),
                         operatorSettings.scaleInDelay(),
--- a/src/main/java/org/gullway/coordination/model/ChangeSet.java
+++ b/src/main/java/org/gullway/coordination/model/ChangeSet.java
@@ -104,4 +104,12 @@
     int freeBytes(int furtherChanges) {
         return MessageLimits.MAX_MESSAGE_BYTES - bytes - reservedBytes - furtherChanges * FURTHER_CHANGE_BYTES;
     }
+
+    /** The space that is left for the growth of a value of this size if its key may be changed, otherwise 0. */
+    int freeBytesForGrowthOf(String key, int valueBytes) {
+        if (isChanged(key)) {
+            return freeBytes(0);
+        }
+        return hasKeysFor(1) ? freeBytes(1) - valueBytes : 0;
+    }
 }
--- a/src/main/java/org/gullway/coordination/model/JobRecordSize.java
+++ b/src/main/java/org/gullway/coordination/model/JobRecordSize.java
@@ -22,11 +22,16 @@
     private JobRecordSize() {}
 
     static int maxBytes(JobRecord job) {
-        int bytes = OTHER_FIELDS.length() + job.request().maxJsonBytes();
-        bytes += job.owner() == null ? MIN_OWNER_BYTES : Math.max(MIN_OWNER_BYTES, JsonSize.ofText(job.owner()));
+        int bytes = maxBytesWithoutPlacements(job);
         for (Placement placement : job.livePlacements()) {
             bytes += maxBytes(job, placement);
         }
+        return bytes;
+    }
+
+    static int maxBytesWithoutPlacements(JobRecord job) {
+        int bytes = OTHER_FIELDS.length() + job.request().maxJsonBytes();
+        bytes += job.owner() == null ? MIN_OWNER_BYTES : Math.max(MIN_OWNER_BYTES, JsonSize.ofText(job.owner()));
         return bytes + job.completedTasks().jsonBytes();
     }
 
--- a/src/main/java/org/gullway/coordination/model/Transaction.java
+++ b/src/main/java/org/gullway/coordination/model/Transaction.java
@@ -51,6 +51,7 @@
     private final Limits limits;
     private final Instant wallClockTime;
     private final ChangeSet changeSet;
+    private final RecordCapacity recordCapacity;
     private final UsageDelta usageDelta = new UsageDelta();
 
     public Transaction(ClusterState clusterState, Incarnation self, Limits limits, Instant wallClockTime) {
@@ -58,6 +59,7 @@
         this.limits = limits;
         this.wallClockTime = wallClockTime;
         this.changeSet = new ChangeSet(limits);
+        this.recordCapacity = new RecordCapacity(clusterState, limits.valueBytes(), () -> wallClockTime);
         changeSet.requireUnchanged(StoreKeys.member(self.node()));
     }
 
@@ -237,37 +239,32 @@
     /** The number of further attempts of this job that fit into this transaction and into the job's record. */
     public int placeableTasks(JobRecord job) {
         int recordBytes = job.maxEncodedBytes();
-        int freeBytes;
-        if (changeSet.isChanged(StoreKeys.job(job.request().id()))) {
-            freeBytes = changeSet.freeBytes(0);
-        } else if (changeSet.hasKeysFor(1)) {
-            freeBytes = changeSet.freeBytes(1) - recordBytes;
-        } else {
-            return 0;
-        }
+        int freeBytes =
+                changeSet.freeBytesForGrowthOf(StoreKeys.job(job.request().id()), recordBytes);
         int bytesForPlacements = Math.min(freeBytes, limits.valueBytes() - recordBytes);
-        return Math.max(0, bytesForPlacements / maxPlacementBytes(job));
+        return Math.max(0, bytesForPlacements / recordCapacity.maxPlacementBytes(job));
     }
 
     /** Whether this transaction, which changes the job's record, has room for one more of its placements. */
     public boolean hasRoomForPlacement(JobRecord job) {
-        return changeSet.freeBytes(0) >= maxPlacementBytes(job);
+        return changeSet.freeBytes(0) >= recordCapacity.maxPlacementBytes(job);
     }
 
-    private int maxPlacementBytes(JobRecord job) {
-        return JobRecordSize.maxBytesOfNextPlacement(job, clusterState.longestMachineFields(), wallClockTime);
+    /** The rule for how many tasks of a job its record can list, at the time of this transaction. */
+    public RecordCapacity recordCapacity() {
+        return recordCapacity;
     }
 
     /** Reserves resources, quota and space in this transaction for one task that it is about to place on a machine. */
     public void reserve(JobRecord job, MachineRecord machine) {
         usageDelta.addTask(job, machine.name());
-        changeSet.reserveBytes(maxPlacementBytes(job));
+        changeSet.reserveBytes(recordCapacity.maxPlacementBytes(job));
     }
 
     /** Cancels a reservation for a task that is not placed after all. */
     public void unreserve(JobRecord job, MachineRecord machine) {
         usageDelta.removeTask(job, machine.name());
-        changeSet.reserveBytes(-maxPlacementBytes(job));
+        changeSet.reserveBytes(-recordCapacity.maxPlacementBytes(job));
     }
 
     /** Charges the job's placed tasks to another quota partition from this transaction on. */
@@ -292,7 +289,7 @@
                     job.attemptCount() + 1,
                     machines.stream().map(MachineRecord::name).toList());
         }
-        changeSet.reserveBytes(-machines.size() * maxPlacementBytes(job));
+        changeSet.reserveBytes(-machines.size() * recordCapacity.maxPlacementBytes(job));
         putJob(job.withPlacements(machines, wallClockTime));
     }
 }
--- a/src/main/java/org/gullway/coordination/quota/QuotaDemand.java
+++ b/src/main/java/org/gullway/coordination/quota/QuotaDemand.java
@@ -1,12 +1,12 @@
 package org.gullway.coordination.quota;
 
-import java.time.Instant;
 import java.util.Collection;
 import java.util.HashMap;
 import java.util.Map;
 import java.util.TreeMap;
 import org.gullway.coordination.model.JobRecord;
 import org.gullway.coordination.model.StoreKeys;
+import org.gullway.coordination.model.Transaction;
 
 /** The demand of the unfinished jobs for each quota partition, by team and resource. */
 final class QuotaDemand {
@@ -20,7 +20,7 @@
         private double smallestWaitingTask;
         private double largestStalledTask;
 
-        /** Returns the sum of what all unfinished tasks need. */
+        /** Returns the sum of what the tasks need that are placed or can be placed now. */
         double total() {
             return total;
         }
@@ -40,8 +40,8 @@
             return largestStalledTask;
         }
 
-        private void add(JobRecord job, double perTask, boolean waiting, boolean stalled) {
-            total += job.unfinishedTasks() * perTask;
+        private void add(int activeTasks, double perTask, boolean waiting, boolean stalled) {
+            total += activeTasks * perTask;
             if (waiting) {
                 smallestWaitingTask = smallestWaitingTask == 0 ? perTask : Math.min(smallestWaitingTask, perTask);
             }
@@ -55,11 +55,12 @@
         private final ResourceDemand cpus = new ResourceDemand();
         private final ResourceDemand gpus = new ResourceDemand();
 
-        private void add(JobRecord job, Instant wallClockTime) {
-            boolean waiting = job.waitingTasks() > 0;
-            boolean stalled = waiting && job.isStalledAt(wallClockTime);
-            cpus.add(job, job.request().cpus(), waiting, stalled);
-            gpus.add(job, job.request().gpus(), waiting, stalled);
+        private void add(JobRecord job, Transaction transaction) {
+            int activeTasks = transaction.recordCapacity().activeTasks(job);
+            boolean waiting = activeTasks > job.livePlacements().size();
+            boolean stalled = waiting && job.isStalledAt(transaction.wallClockTime());
+            cpus.add(activeTasks, job.request().cpus(), waiting, stalled);
+            gpus.add(activeTasks, job.request().gpus(), waiting, stalled);
         }
 
         private ResourceDemand of(QuotaResource resource) {
@@ -73,15 +74,15 @@
     /**
      * Computes the demand of the given jobs.
      *
-     * @param wallClockTime the current time, which determines the jobs that count as stalled
+     * @param transaction determines the jobs that count as stalled, and the tasks that the jobs' records have room for
      */
-    static QuotaDemand of(Collection<JobRecord> jobs, Instant wallClockTime) {
+    static QuotaDemand of(Collection<JobRecord> jobs, Transaction transaction) {
         QuotaDemand demand = new QuotaDemand();
         for (JobRecord job : jobs) {
             demand.byPartitionAndTeam
                     .computeIfAbsent(StoreKeys.quotaPartitionOf(job), partition -> new HashMap<>())
                     .computeIfAbsent(job.request().team(), team -> new TeamDemand())
-                    .add(job, wallClockTime);
+                    .add(job, transaction);
         }
         return demand;
     }
@@ -94,7 +95,7 @@
         return demand == null ? NONE : demand.of(resource.resource());
     }
 
-    /** Returns the sum of what all unfinished tasks need of one team's resource in the partition. */
+    /** Returns the sum of what the tasks that are or can be placed need of one team's resource in the partition. */
     double total(String partition, TeamResource resource) {
         return of(partition, resource).total();
     }
--- a/src/main/java/org/gullway/coordination/quota/QuotaPartitioner.java
+++ b/src/main/java/org/gullway/coordination/quota/QuotaPartitioner.java
@@ -114,7 +114,7 @@
     public void plan(Transaction transaction, PlanningContext context) {
         Instant now = context.now();
         updateKnownPartitions();
-        QuotaDemand demand = QuotaDemand.of(clusterState.jobs(), transaction.wallClockTime());
+        QuotaDemand demand = QuotaDemand.of(clusterState.jobs(), transaction);
         List<String> heldPartitions =
                 context.leader() ? List.of(StoreKeys.LEADER_QUOTA, ownPartition) : List.of(ownPartition);
         Duration reductionInterval = context.hasSpareWriteCapacity() ? FAST_REDUCTION_INTERVAL : REDUCTION_INTERVAL;
--- a/src/main/java/org/gullway/coordination/quota/TeamQuotas.java
+++ b/src/main/java/org/gullway/coordination/quota/TeamQuotas.java
@@ -32,6 +32,14 @@
         return teams.values();
     }
 
+    /**
+     * Returns the number of the job's waiting tasks that its quota partition and its record allow to start, however
+     * many resources are free.
+     */
+    public int startableTasks(JobRecord job, Transaction transaction) {
+        return Math.min(transaction.recordCapacity().startableTasks(job), remainingTasks(job, transaction));
+    }
+
     /** Returns the number of further tasks of the job that fit into the quota partition that the job draws on. */
     public int remainingTasks(JobRecord job, Transaction transaction) {
         JobRequest request = job.request();
--- a/src/main/java/org/gullway/coordination/scaling/FleetAutoscaler.java
+++ b/src/main/java/org/gullway/coordination/scaling/FleetAutoscaler.java
@@ -10,6 +10,7 @@
 import org.gullway.coordination.model.JobRecord;
 import org.gullway.coordination.model.MachineRecord;
 import org.gullway.coordination.model.MachineRecord.MachineLifecycle;
+import org.gullway.coordination.model.RecordCapacity;
 import org.gullway.coordination.model.Transaction;
 import org.gullway.coordination.placement.PlacementConstraints;
 import org.gullway.coordination.quota.QuotaHeadroom;
@@ -30,6 +31,7 @@
     private final ClusterState clusterState;
     private final PlacementConstraints constraints;
     private final TeamQuotas quotas;
+    private final RecordCapacity recordCapacity;
     private final AvailableOfferings availableOfferings;
     private final SpareCapacityPolicy spareCapacity;
     private final ScaleOutPlanner scaleOutPlanner;
@@ -38,13 +40,19 @@
     private Instant scaleInPlannedAt = Instant.MIN;
 
     public FleetAutoscaler(
-            ClusterState clusterState, PlacementConstraints constraints, TeamQuotas quotas, ScalingPolicy policy) {
+            ClusterState clusterState,
+            PlacementConstraints constraints,
+            TeamQuotas quotas,
+            RecordCapacity recordCapacity,
+            ScalingPolicy policy) {
         this.clusterState = clusterState;
         this.constraints = constraints;
         this.quotas = quotas;
+        this.recordCapacity = recordCapacity;
         this.availableOfferings = new AvailableOfferings(clusterState, constraints.machineTypes());
-        this.spareCapacity = new SpareCapacityPolicy(clusterState, policy.spareCapacityFraction());
-        this.scaleOutPlanner = new ScaleOutPlanner(clusterState, constraints.machineTypes(), quotas, spareCapacity);
+        this.spareCapacity = new SpareCapacityPolicy(clusterState, recordCapacity, policy.spareCapacityFraction());
+        this.scaleOutPlanner =
+                new ScaleOutPlanner(clusterState, constraints.machineTypes(), quotas, recordCapacity, spareCapacity);
         this.scaleInPolicy = new ScaleInPolicy(clusterState, constraints, policy);
     }
 
@@ -76,8 +84,8 @@
         for (JobRecord job : clusterState.jobs()) {
             JobRequest request = job.request();
             // Unlike in ScaleOutPlanner, the attempts of cancelled jobs that still have to be stopped are included.
-            reservedCpus += job.isReserved() ? job.unfinishedTasks() * request.cpus() : 0;
-            waitingCpus += headroom.admit(job, job.waitingTasks()) * request.cpus();
+            reservedCpus += job.isReserved() ? recordCapacity.activeTasks(job) * request.cpus() : 0;
+            waitingCpus += headroom.admit(job, recordCapacity.startableTasks(job)) * request.cpus();
         }
         double freeCpus = freeCpus(transaction);
         double spareCpus = spareCapacity.requiredCpus(reservedCpus, now);
--- a/src/main/java/org/gullway/coordination/scaling/ScaleOutPlanner.java
+++ b/src/main/java/org/gullway/coordination/scaling/ScaleOutPlanner.java
@@ -10,6 +10,7 @@
 import org.gullway.coordination.model.JobRecord;
 import org.gullway.coordination.model.MachineRecord;
 import org.gullway.coordination.model.MachineRecord.MachineLifecycle;
+import org.gullway.coordination.model.RecordCapacity;
 import org.gullway.coordination.model.ResourceUsage;
 import org.gullway.coordination.placement.FreeResources;
 import org.gullway.coordination.placement.MachineTypeCatalog;
@@ -21,23 +22,26 @@
 import org.gullway.protocol.Priority;
 
 /**
- * Decides which machines to provision: packs the waiting tasks that quotas permit, and the spare capacity for reserved
- * jobs, onto the machines that have booted or are booting. The tasks that do not fit there need new machines.
+ * Decides which machines to provision: packs the waiting tasks that quotas and job records permit, and the spare capacity
+ * for reserved jobs, onto the machines that have booted or are booting. The tasks that do not fit there need new machines.
  */
 final class ScaleOutPlanner {
     private final ClusterState clusterState;
     private final MachineTypeCatalog machineTypes;
     private final TeamQuotas quotas;
+    private final RecordCapacity recordCapacity;
     private final SpareCapacityPolicy spareCapacity;
 
     ScaleOutPlanner(
             ClusterState clusterState,
             MachineTypeCatalog machineTypes,
             TeamQuotas quotas,
+            RecordCapacity recordCapacity,
             SpareCapacityPolicy spareCapacity) {
         this.clusterState = clusterState;
         this.machineTypes = machineTypes;
         this.quotas = quotas;
+        this.recordCapacity = recordCapacity;
         this.spareCapacity = spareCapacity;
     }
 
@@ -83,9 +87,9 @@
             JobRequest request = job.request();
             if (job.isReserved() && !job.isCancelled()) {
                 lastReserved = request;
-                reservedCpus += job.unfinishedTasks() * request.cpus();
+                reservedCpus += recordCapacity.activeTasks(job) * request.cpus();
             }
-            int tasks = headroom.admit(job, job.waitingTasks());
+            int tasks = headroom.admit(job, recordCapacity.startableTasks(job));
             if (tasks > 0) {
                 packing.pack(request, tasks);
             }
--- a/src/main/java/org/gullway/coordination/scaling/SpareCapacityPolicy.java
+++ b/src/main/java/org/gullway/coordination/scaling/SpareCapacityPolicy.java
@@ -6,6 +6,8 @@
 import java.util.Set;
 import org.gullway.coordination.model.ClusterState;
 import org.gullway.coordination.model.JobRecord;
+import org.gullway.coordination.model.RecordCapacity;
+import org.gullway.protocol.JobRequest;
 
 /**
  * Decides how much capacity is kept free for reserved jobs: a fraction of what their unfinished tasks need, and at
@@ -22,6 +24,7 @@
     private static final Duration BURST_HALF_LIFE = Duration.ofSeconds(90);
 
     private final ClusterState clusterState;
+    private final RecordCapacity recordCapacity;
     private final double fraction;
     /** Ids of the reserved jobs that the burst size already includes. */
     private final Set<String> observedJobs = new HashSet<>();
@@ -31,8 +34,9 @@
     /** When the last new reserved job was seen; the burst size decays from then on. */
     private Instant burstAt = Instant.MIN;
 
-    SpareCapacityPolicy(ClusterState clusterState, double fraction) {
+    SpareCapacityPolicy(ClusterState clusterState, RecordCapacity recordCapacity, double fraction) {
         this.clusterState = clusterState;
+        this.recordCapacity = recordCapacity;
         this.fraction = fraction;
     }
 
@@ -40,7 +44,8 @@
     double requiredCpus(double reservedCpus, Instant now) {
         for (JobRecord job : clusterState.jobs()) {
             if (job.isReserved() && observedJobs.add(job.request().id())) {
-                double jobCpus = job.request().tasks() * job.request().cpus();
+                JobRequest request = job.request();
+                double jobCpus = recordCapacity.maxSimultaneousTasks(request) * request.cpus();
                 burstCpus = Math.max(burstCpus * decay(now), jobCpus);
                 burstAt = now;
             }
--- a/src/main/java/org/gullway/coordination/scheduling/BestEffortQueue.java
+++ b/src/main/java/org/gullway/coordination/scheduling/BestEffortQueue.java
@@ -37,7 +37,7 @@
     public record OutgoingOffers(String peer, List<ResourceOffer> offers) {}
 
     /**
-     * The best-effort jobs that have waiting tasks and are not backed off.
+     * The best-effort jobs that have waiting tasks for which their records have room, and are not backed off.
      *
      * @param ownJobs the jobs in this controller's queue
      * @param smallestPeerTaskCpus the CPUs of the smallest task of such jobs in the queues of other controllers;
@@ -90,7 +90,7 @@
      * @return the offers to send to peers
      */
     List<OutgoingOffers> schedule(Transaction transaction, Supplier<List<MachineRecord>> ownMachines, Instant now) {
-        WaitingJobs waiting = waitingJobs(now);
+        WaitingJobs waiting = waitingJobs(transaction, now);
         boolean offersOwnMachines = waiting.peersHaveWaitingJobs() && peerOffers.isSendingDue(now);
         boolean usesOwnMachines = !waiting.ownJobs().isEmpty() || offersOwnMachines;
         if (!usesOwnMachines && !peerOffers.hasReceived()) {
@@ -118,11 +118,15 @@
                 : List.of();
     }
 
-    private WaitingJobs waitingJobs(Instant now) {
+    private WaitingJobs waitingJobs(Transaction transaction, Instant now) {
         List<JobRecord> ownJobs = new ArrayList<>();
         double smallestPeerTaskCpus = Double.POSITIVE_INFINITY;
-        for (JobRecord job : clusterState.jobs()) {
-            if (!job.isReserved() && job.waitingTasks() > 0 && !backoff.isBackedOff(job, now)) {
+        for (JobRecord storedJob : clusterState.jobs()) {
+            JobRecord job = transaction.job(storedJob.request().id());
+            if (job != null
+                    && !job.isReserved()
+                    && transaction.recordCapacity().startableTasks(job) > 0
+                    && !backoff.isBackedOff(job, now)) {
                 if (self.equals(job.owner())) {
                     ownJobs.add(job);
                 } else {
--- a/src/main/java/org/gullway/coordination/scheduling/CordonPlanner.java
+++ b/src/main/java/org/gullway/coordination/scheduling/CordonPlanner.java
@@ -81,7 +81,7 @@
 
     /**
      * Chooses machines until all waiting tasks of the given jobs fit on them once no other tasks run there, or until no
-     * suitable machine is left. Machines with the most free CPUs are chosen first.
+     * suitable machine is left. Tasks for which a job's record has no room are not counted. Machines with the most free CPUs are chosen first.
      *
      * @return the names of at most {@link CordonedMachines#MAX_MACHINES} machines
      */
@@ -92,16 +92,16 @@
         }
         List<Candidate> candidates = mostFreeFirst(machines, transaction);
         for (JobRecord job : jobs) {
-            addMachinesFor(job, candidates, chosen);
+            addMachinesFor(job, transaction.recordCapacity().startableTasks(job), candidates, chosen);
         }
         return chosen;
     }
 
-    private void addMachinesFor(JobRecord job, List<Candidate> candidates, Set<String> chosen) {
+    private void addMachinesFor(JobRecord job, int tasks, List<Candidate> candidates, Set<String> chosen) {
         JobRequest request = job.request();
-        int tasks = job.waitingTasks();
+        int remaining = tasks;
         for (Candidate candidate : candidates) {
-            if (tasks <= 0 || chosen.size() >= CordonedMachines.MAX_MACHINES) {
+            if (remaining <= 0 || chosen.size() >= CordonedMachines.MAX_MACHINES) {
                 return;
             }
             MachineRecord machine = candidate.machine();
@@ -110,7 +110,7 @@
                     && type.canHostTaskOf(request)
                     && constraints.isAllowed(job, machine, clusterState)
                     && chosen.add(machine.name())) {
-                tasks -= FreeResources.ofEmpty(type).fittingTasks(request);
+                remaining -= FreeResources.ofEmpty(type).fittingTasks(request);
             }
         }
     }
--- a/src/main/java/org/gullway/coordination/scheduling/ReservedScheduler.java
+++ b/src/main/java/org/gullway/coordination/scheduling/ReservedScheduler.java
@@ -147,8 +147,7 @@
         if (job.isGang() && !job.livePlacements().isEmpty()) {
             return true;
         }
-        int allowedTasks = Math.min(
-                job.waitingTasks(), Math.min(quotas.remainingTasks(job, transaction), transaction.placeableTasks(job)));
+        int allowedTasks = Math.min(quotas.startableTasks(job, transaction), transaction.placeableTasks(job));
         if (allowedTasks == 0 || (job.isGang() && allowedTasks < job.waitingTasks())) {
             return true;
         }
@@ -186,12 +185,12 @@
     }
 
     /**
-     * Preempts best-effort tasks of lower priority for all waiting tasks that the quota allows.
+     * Preempts best-effort tasks of lower priority for all waiting tasks that the quota and the job's record allow.
      *
      * @return whether resources were found for all of them
      */
     private boolean preemptFor(JobRecord job, PreemptionPlanner preemption, Transaction transaction) {
-        int tasks = Math.min(job.waitingTasks(), quotas.remainingTasks(job, transaction));
+        int tasks = quotas.startableTasks(job, transaction);
         Priority priority = job.request().priority();
         return preemption.preemptFor(
                 job,
--- a/src/main/java/org/gullway/coordination/scheduling/ScavengerScheduler.java
+++ b/src/main/java/org/gullway/coordination/scheduling/ScavengerScheduler.java
@@ -21,9 +21,9 @@
  * Restricts jobs of the scavenger class ({@link Priority#IDLE}) to leftover resources: limits the CPUs that their tasks
  * may use, and preempts their tasks for best-effort jobs of higher priority. Scavenger tasks start only while no
  * best-effort job of higher priority that was submitted more than {@link #MIN_WAIT} ago has waiting tasks, not counting
- * jobs that are backed off or whose quota partition allows no further task. They also leave a reserve of free CPUs for
- * reserved jobs. The exception is a stalled scavenger job, which gets one task like any other stalled job. {@link
- * BestEffortPlacement} places the tasks.
+ * jobs that are backed off or whose quota partition or record allows no further task. They also leave a reserve of free
+ * CPUs for reserved jobs. The exception is a stalled scavenger job, which gets one task like any other stalled job.
+ * {@link BestEffortPlacement} places the tasks.
  */
 public final class ScavengerScheduler implements PlanningStep {
     private static final Duration PREEMPTION_INTERVAL = Duration.ofSeconds(1);
@@ -63,7 +63,7 @@
     /**
      * Returns the number of free CPUs that scavenger tasks may use now. The result is 0 while a best-effort job of
      * higher priority that was submitted more than {@link #MIN_WAIT} ago has waiting tasks, although it is not backed
-     * off and its quota partition allows another task.
+     * off, and its quota partition and its record allow another task.
      */
     double availableCpus(Transaction transaction, Instant now) {
         if (!waitingJobsOfHigherPriority(transaction, now).isEmpty()) {
@@ -99,8 +99,7 @@
         PreemptionPlanner preemption = new PreemptionPlanner(
                 clusterState, constraints, deadlines, transaction, window.next(availableUncordonedMachines()));
         for (JobRecord job : waiting.subList(0, Math.min(MAX_JOBS_PER_RUN, waiting.size()))) {
-            int tasks = Math.min(job.waitingTasks(), quotas.remainingTasks(job, transaction));
-            preemption.preemptFor(job, tasks, ScavengerScheduler::isScavenger);
+            preemption.preemptFor(job, quotas.startableTasks(job, transaction), ScavengerScheduler::isScavenger);
         }
     }
 
@@ -115,8 +114,8 @@
 
     /**
      * Returns the best-effort jobs outside the scavenger class that were submitted more than {@link #MIN_WAIT} ago and
-     * still have waiting tasks, although they are not backed off and their quota partition allows another task. The
-     * oldest job comes first.
+     * still have waiting tasks, although they are not backed off, and their quota partition and their record allow
+     * another task. The oldest job comes first.
      */
     private List<JobRecord> waitingJobsOfHigherPriority(Transaction transaction, Instant now) {
         List<JobRecord> waiting = new ArrayList<>();
@@ -125,10 +124,9 @@
             if (job != null
                     && !job.isReserved()
                     && !isScavenger(job)
-                    && job.waitingTasks() > 0
                     && !backoff.isBackedOff(job, now)
                     && job.submittedAt().plus(MIN_WAIT).isBefore(transaction.wallClockTime())
-                    && quotas.remainingTasks(job, transaction) > 0) {
+                    && quotas.startableTasks(job, transaction) > 0) {
                 waiting.add(job);
             }
         }
