A job that its record cannot list is rejected as infeasible

What callers would see: a gang or a service of 1,000 tasks is answered 201 and never runs as asked: a gang is placed as a whole, and its record has no room for all placements in one value of the state store. A record that is larger than a value even without placements is rejected by the store with all other changes of the transaction, in every cycle; with values of 16 KiB no request is that large. Cause: feasibility asked the team's quota and the machine types, not the record. Change: JobFeasibility asks RecordCapacity whether the tasks that have to run at the same time fit into the record: one of an array, all of a gang or a service. Such a job gets 422, as a job beyond its team's quota does. An array of any length is accepted as before. Why it works: what is accepted can be recorded with at least the placements that it needs at a time.

--- a/src/main/java/org/gullway/controller/RequestComponents.java
+++ b/src/main/java/org/gullway/controller/RequestComponents.java
@@ -60,7 +60,7 @@
                 replicatedState,
                 new JobAdmission(
                         placement.machineTypes(),
-                        new JobFeasibility(placement.machineTypes(), placement.quotas()),
+                        new JobFeasibility(placement.machineTypes(), placement.quotas(), placement.recordCapacity()),
                         random),
                 monitoring.metrics(),
                 CONDITIONS_PER_CHANGE * environment.settings().stateChangesPerCommit(),
--- a/src/test/java/org/gullway/controller/SchedulingCycleTest.java
+++ b/src/test/java/org/gullway/controller/SchedulingCycleTest.java
@@ -12,6 +12,7 @@
 import org.gullway.coordination.agents.CompletionBuffer;
 import org.gullway.coordination.cancellation.CancellationEnforcer;
 import org.gullway.coordination.model.ClusterState;
+import org.gullway.coordination.model.RecordCapacity;
 import org.gullway.coordination.model.StoreKeys;
 import org.gullway.coordination.model.TestFixtures;
 import org.gullway.coordination.placement.MachineTypeCatalog;
@@ -90,7 +91,15 @@
                 clusterState,
                 replicatedState,
                 new JobAdmission(
-                        machineTypes, new JobFeasibility(machineTypes, TestFixtures.quotas()), new SplittableRandom(4)),
+                        machineTypes,
+                        new JobFeasibility(
+                                machineTypes,
+                                TestFixtures.quotas(),
+                                new RecordCapacity(
+                                        clusterState,
+                                        TestFixtures.LIMITS.valueBytes(),
+                                        () -> TestFixtures.WALL_CLOCK_TIME)),
+                        new SplittableRandom(4)),
                 new Metrics(),
                 FakeStateStore.MAX_CHANGES_PER_COMMIT,
                 new CancellationEnforcer(clusterState, Duration.ofSeconds(40)),
--- a/src/test/java/org/gullway/coordination/quota/UnlimitedQuotaTest.java
+++ b/src/test/java/org/gullway/coordination/quota/UnlimitedQuotaTest.java
@@ -9,6 +9,7 @@
 import org.gullway.coordination.model.ClusterState;
 import org.gullway.coordination.model.Incarnation;
 import org.gullway.coordination.model.JobRecord;
+import org.gullway.coordination.model.RecordCapacity;
 import org.gullway.coordination.model.StoreKeys;
 import org.gullway.coordination.model.TestFixtures;
 import org.gullway.coordination.model.Transaction;
@@ -23,6 +24,12 @@
     private final TeamQuotas quotas = new TeamQuotas(
             Map.of("red", new Settings.Team("red", 16, 32, 0, 0), "guest", new Settings.Team("guest", 0, 0, 0, 0)));
 
+    private final JobFeasibility feasibility = new JobFeasibility(
+            machineTypes,
+            quotas,
+            new RecordCapacity(
+                    TestFixtures.clusterState(), TestFixtures.LIMITS.valueBytes(), () -> TestFixtures.WALL_CLOCK_TIME));
+
     UnlimitedQuotaTest() {
         machineTypes.update(List.of(TestFixtures.type("small", 16), TestFixtures.type("large", 32)));
     }
@@ -33,17 +40,13 @@
      */
     @Test
     void jobsWithUnlimitedQuotaAreFeasibleIfATaskFitsOnAMachineType() {
-        assertThat(new JobFeasibility(machineTypes, quotas)
-                        .isFeasible(TestFixtures.request("run-000001", "guest", Priority.IDLE, 25_000, 32)))
+        assertThat(feasibility.isFeasible(TestFixtures.request("run-000001", "guest", Priority.IDLE, 25_000, 32)))
                 .isTrue();
-        assertThat(new JobFeasibility(machineTypes, quotas)
-                        .isFeasible(TestFixtures.request("run-000001", "guest", Priority.IDLE, 1, 33)))
+        assertThat(feasibility.isFeasible(TestFixtures.request("run-000001", "guest", Priority.IDLE, 1, 33)))
                 .isFalse();
-        assertThat(new JobFeasibility(machineTypes, quotas)
-                        .isFeasible(TestFixtures.request("run-000001", "nobody", Priority.IDLE, 1, 1)))
+        assertThat(feasibility.isFeasible(TestFixtures.request("run-000001", "nobody", Priority.IDLE, 1, 1)))
                 .isFalse();
-        assertThat(new JobFeasibility(machineTypes, quotas)
-                        .isFeasible(TestFixtures.request("run-000001", "red", Priority.IDLE, 1, 32)))
+        assertThat(feasibility.isFeasible(TestFixtures.request("run-000001", "red", Priority.IDLE, 1, 32)))
                 .isTrue();
     }
 
