Known cancellations that do not fit into one request are asked about in ranges

What callers would see: in an outage of the state store with more cancelled jobs than fit into a request (2,700 with ids of 22 characters), a controller never knows all cancellations of its peers, so it stops renewing leases and the agents end all tasks. Cause: jobs that did not fit into the request came back in the response. More than some 600 of them fill a response, it is marked as incomplete, and the next request lists the same jobs. Change: ids are sorted, and a request that does not hold all known ids asks about the range up to its last id; the next one begins there. A request without a range has the same bytes as before, so that older controllers understand it (golden message unchanged). Why it works: each request in a range moves on by as many known ids as it holds, or brings new ones. The changed assertions of PeerMessagesTest check all ranges in place of the first part of the ids.

--- a/src/main/java/org/gullway/peer/PeerClient.java
+++ b/src/main/java/org/gullway/peer/PeerClient.java
@@ -6,7 +6,9 @@
 import java.util.Map;
 import java.util.Set;
 import java.util.function.BiConsumer;
+import java.util.function.Consumer;
 import org.gullway.protocol.AttemptCompletion;
+import org.gullway.protocol.CancellationQuery;
 import org.gullway.protocol.ResourceOffer;
 import org.gullway.protocol.Settings;
 import org.gullway.transport.HttpClient;
@@ -60,14 +62,11 @@
     }
 
     /**
-     * Asks every peer for cancellations that this controller does not know. The callback receives each peer's name and
-     * response.
-     *
-     * @param knownCancellations the encoded ids of cancelled jobs that this controller knows
+     * Asks a peer, which must be configured, for cancellations that this controller does not know. The callback
+     * receives the peer's response.
      */
-    void queryCancellations(byte[] knownCancellations, BiConsumer<String, HttpResponse> callback) {
-        HttpRequest request = HttpRequest.post(PeerPaths.CANCELLATIONS, knownCancellations, TIMEOUT);
-        addressByName.forEach(
-                (peer, address) -> httpClient.call(address, request, response -> callback.accept(peer, response)));
+    void queryCancellations(String peer, CancellationQuery query, Consumer<HttpResponse> callback) {
+        HttpRequest request = HttpRequest.post(PeerPaths.CANCELLATIONS, query.encode(), TIMEOUT);
+        httpClient.call(addressByName.get(peer), request, callback);
     }
 }
--- a/src/main/java/org/gullway/protocol/PeerCancellations.java
+++ b/src/main/java/org/gullway/protocol/PeerCancellations.java
@@ -7,13 +7,12 @@
 import java.io.UncheckedIOException;
 import java.util.ArrayList;
 import java.util.Collection;
-import java.util.HashSet;
 import java.util.List;
-import java.util.Set;
 
 /**
  * A controller's response to a peer that cannot reach the state store. The response lists the cancelled jobs that the
- * responding controller knows and whose tasks may still be on machines, except those that the peer's request names.
+ * responding controller knows and whose tasks may still be on machines, as far as the peer's {@link CancellationQuery}
+ * asks for them.
  *
  * @param node the name of the responding controller, as in its incarnation
  * @param incarnationNumber the number of the responding controller's incarnation, different in each of its runs
@@ -21,15 +20,10 @@
  */
 public record PeerCancellations(String node, long incarnationNumber, boolean complete, List<CancelledJob> jobs) {
     private static final int VERSION = 1;
-    /** A request without job ids: the version and their number. */
-    private static final int KNOWN_HEADER_BYTES = 1 + Short.BYTES;
-
     private static final int CONTENT_BYTES_THRESHOLD = 40 * 1024;
     private static final int HEADER_BYTES = 64;
-    private static final int EXPECTED_JOB_ID_BYTES = 16;
     private static final int MAX_ATTEMPTS = 10_000;
     private static final String CONTENT = "cancellations";
-    private static final String KNOWN_CONTENT = "ids of cancelled jobs";
 
     /**
      * A cancelled job.
@@ -42,48 +36,6 @@
     /** One attempt of a task, with its machine and the epoch of the agent on that machine. */
     public record CancelledAttempt(int task, long attempt, String machine, long agentEpoch) {}
 
-    /**
-     * Encodes a request, which lists the cancelled jobs that the requesting controller knows already. Jobs that do not
-     * fit into one request are left out, so the response may contain them.
-     */
-    public static byte[] encodeKnownJobs(Collection<String> jobs) {
-        List<String> fitting = firstThatFit(jobs);
-        return PeerMessages.encode(VERSION, EXPECTED_JOB_ID_BYTES * fitting.size(), out -> {
-            out.writeShort(fitting.size());
-            for (String job : fitting) {
-                out.writeUTF(job);
-            }
-        });
-    }
-
-    /** Job ids are ASCII, so each character takes one byte. */
-    private static List<String> firstThatFit(Collection<String> jobs) {
-        List<String> fitting = new ArrayList<>();
-        int bytes = KNOWN_HEADER_BYTES;
-        for (String job : jobs) {
-            bytes += Short.BYTES + job.length();
-            if (bytes > MessageLimits.MAX_MESSAGE_BYTES) {
-                break;
-            }
-            fitting.add(job);
-        }
-        return fitting;
-    }
-
-    /** Decodes the job ids in a request of {@link #encodeKnownJobs}. */
-    public static Set<String> decodeKnownJobs(byte[] body) throws MalformedMessageException {
-        return PeerMessages.decode(body, VERSION, KNOWN_CONTENT, PeerCancellations::readJobIds);
-    }
-
-    private static Set<String> readJobIds(DataInputStream in) throws IOException, MalformedMessageException {
-        int count = in.readUnsignedShort();
-        Set<String> jobs = new HashSet<>();
-        for (int i = 0; i < count; i++) {
-            jobs.add(PeerMessages.readText(in));
-        }
-        return jobs;
-    }
-
     /**
      * Encodes a response. Once its jobs take more than {@link #CONTENT_BYTES_THRESHOLD} bytes, the other jobs are left
      * out and {@code complete} is false.
--- a/src/test/java/org/gullway/protocol/GoldenMessagesTest.java
+++ b/src/test/java/org/gullway/protocol/GoldenMessagesTest.java
@@ -274,10 +274,11 @@
 
     @Test
     void cancellationEncodingIsUnchanged() throws MalformedMessageException {
-        List<String> known = List.of("run-000412", "run-000001");
-        GOLDEN.check("cancellations-known", PeerCancellations.encodeKnownJobs(known));
-        assertThat(PeerCancellations.decodeKnownJobs(GOLDEN.bytes("cancellations-known")))
-                .isEqualTo(new LinkedHashSet<>(known));
+        CancellationQuery query =
+                new CancellationQuery("", "", new LinkedHashSet<>(List.of("run-000412", "run-000001")));
+        GOLDEN.check("cancellations-known", query.encode());
+        assertThat(CancellationQuery.decode(GOLDEN.bytes("cancellations-known")))
+                .isEqualTo(query);
         List<PeerCancellations.CancelledJob> jobs = List.of(
                 new PeerCancellations.CancelledJob("run-000412", 1_763_618_400_123L, List.of()),
                 new PeerCancellations.CancelledJob(
--- a/src/test/java/org/gullway/protocol/PeerMessagesTest.java
+++ b/src/test/java/org/gullway/protocol/PeerMessagesTest.java
@@ -6,7 +6,10 @@
 import java.util.ArrayList;
 import java.util.Arrays;
 import java.util.Collections;
+import java.util.HashSet;
 import java.util.List;
+import java.util.Set;
+import java.util.SplittableRandom;
 import net.jqwik.api.ForAll;
 import net.jqwik.api.Property;
 import net.jqwik.api.constraints.IntRange;
@@ -69,8 +72,8 @@
         assertThat(read.incarnationNumber()).isEqualTo(attempt);
         assertThat(read.jobs()).isEqualTo(cancelledJobs.subList(0, read.jobs().size()));
         assertThat(read.complete()).isEqualTo(read.jobs().size() == jobs);
-        assertThat(PeerCancellations.decodeKnownJobs(PeerCancellations.encodeKnownJobs(List.of("run-1", "run-2"))))
-                .containsExactlyInAnyOrder("run-1", "run-2");
+        CancellationQuery query = CancellationQuery.startingAfter("", List.of("run-1", "run-2"));
+        assertThat(CancellationQuery.decode(query.encode()).knownJobs()).containsExactlyInAnyOrder("run-1", "run-2");
         for (int cut = 0; cut < bytes.length; cut += 1 + bytes.length / 200) {
             byte[] part = Arrays.copyOf(bytes, cut);
             assertThatThrownBy(() -> PeerCancellations.decode(part)).isInstanceOf(MalformedMessageException.class);
@@ -79,16 +82,43 @@
 
     /** Guards against a request that peers reject for as long as the cancellations last, so that leases run out. */
     @Test
-    void knownCancellationsThatDoNotFitIntoOneRequestAreLeftOut() throws MalformedMessageException {
+    void knownCancellationsThatDoNotFitIntoOneRequestAreDividedIntoRanges() throws MalformedMessageException {
         List<String> jobs = new ArrayList<>();
         for (int i = 0; i < 4000; i++) {
             jobs.add(String.format("run-%018d", i));
         }
-        byte[] request = PeerCancellations.encodeKnownJobs(jobs);
-        assertThat(request.length).isBetween(60 * 1024, 64 * 1024);
-        assertThat(PeerCancellations.decodeKnownJobs(request))
-                .hasSizeGreaterThan(2700)
-                .isSubsetOf(jobs);
+        Set<String> listed = new HashSet<>();
+        CancellationQuery query = CancellationQuery.startingAfter("", jobs);
+        for (; !query.isLast(); query = CancellationQuery.startingAfter(query.through(), jobs)) {
+            byte[] request = query.encode();
+            assertThat(request.length).isBetween(60 * 1024, 64 * 1024);
+            assertThat(CancellationQuery.decode(request)).isEqualTo(query);
+            assertThat(query.knownJobs()).hasSizeGreaterThan(2700);
+            listed.addAll(query.knownJobs());
+        }
+        assertThat(CancellationQuery.decode(query.encode())).isEqualTo(query);
+        listed.addAll(query.knownJobs());
+        assertThat(listed).containsExactlyInAnyOrderElementsOf(jobs);
+    }
+
+    /** Each id lies in exactly one of the ranges, also if it is unknown to the requesting controller. */
+    @Property(tries = 100, seed = "61")
+    void rangesOfQueriesCoverAllIds(@ForAll long seed) {
+        SplittableRandom random = new SplittableRandom(seed);
+        Set<String> known = new HashSet<>();
+        for (int i = random.nextInt(9000); i > 0; i--) {
+            known.add("run-" + random.nextLong(1L << random.nextInt(1, 59)));
+        }
+        String unknown = "run-" + random.nextLong(1L << random.nextInt(1, 59));
+        known.remove(unknown);
+        int asked = 0;
+        CancellationQuery query = CancellationQuery.startingAfter("", known);
+        for (; !query.isLast(); query = CancellationQuery.startingAfter(query.through(), known)) {
+            asked += query.asksFor(unknown) ? 1 : 0;
+            assertThat(known).noneMatch(query::asksFor);
+        }
+        asked += query.asksFor(unknown) ? 1 : 0;
+        assertThat(asked).isEqualTo(1);
     }
 
     @Test
@@ -120,7 +150,7 @@
                 () -> ResourceOffer.decode(ResourceOffer.encode(List.of(new ResourceOffer("vm-1", 1, List.of(text))))));
         assertMalformed(() -> AttemptCompletion.decode(
                 AttemptCompletion.encode(List.of(new AttemptCompletion(new TaskId(text, 0), 1, (byte) 0)))));
-        assertMalformed(() -> PeerCancellations.decodeKnownJobs(PeerCancellations.encodeKnownJobs(List.of(text))));
+        assertMalformed(() -> CancellationQuery.decode(new CancellationQuery("", "", Set.of(text)).encode()));
         assertMalformed(() -> PeerCancellations.decode(PeerCancellations.encode(text, 1, List.of())));
         assertMalformed(() ->
                 PeerCancellations.decode(PeerCancellations.encode("perch-1", 1, List.of(cancelledJob(text, "vm-1")))));
