Versions that are compared for status queries fit into one transaction

What callers would see: with a state store that accepts 240 changes or more in a transaction, status queries under load are answered 503 for as long as the load lasts: the store rejects a comparison of more than 64 KiB as a whole, and with it all queries of the batch. Cause: the number of keys was limited to four times the changes, not by their size. Evidence: TransactionSizeTest#checksOfManyKeysFitIntoOneTransaction; before, the limit followed from the changes alone (by reading; the method is new).

--- a/src/main/java/org/gullway/controller/ControllerEnvironment.java
+++ b/src/main/java/org/gullway/controller/ControllerEnvironment.java
@@ -3,6 +3,7 @@
 import java.time.InstantSource;
 import org.gullway.coordination.model.ClusterState;
 import org.gullway.coordination.model.Incarnation;
+import org.gullway.coordination.model.TransactionLimits;
 import org.gullway.protocol.OperatorSettings;
 import org.gullway.protocol.Settings;
 import org.gullway.transport.EventLoop;
@@ -28,4 +29,9 @@
         InstantSource wallClockTime,
         Incarnation self,
         ClusterState clusterState,
-        Runnable requestCycle) {}
+        Runnable requestCycle) {
+    /** Returns the limits of the state store's transactions. */
+    TransactionLimits transactionLimits() {
+        return new TransactionLimits(settings.stateChangesPerCommit(), settings.stateValueBytes());
+    }
+}
--- a/src/main/java/org/gullway/controller/RequestComponents.java
+++ b/src/main/java/org/gullway/controller/RequestComponents.java
@@ -11,9 +11,6 @@
 
 /** The components that handle requests to the public address. */
 record RequestComponents(UserApi userApi, HeartbeatHandler heartbeatHandler, RequestRouter router) {
-    /** The state store allows this many conditions in a transaction for each change that it allows. */
-    private static final int CONDITIONS_PER_CHANGE = 4;
-
     /**
      * Builds the components.
      *
@@ -63,7 +60,7 @@
                         new JobFeasibility(placement.machineTypes(), placement.quotas(), placement.recordCapacity()),
                         random),
                 monitoring.metrics(),
-                CONDITIONS_PER_CHANGE * environment.settings().stateChangesPerCommit(),
+                environment.transactionLimits().maxComparedKeys(),
                 agents.cancellationEnforcer(),
                 monitoring.invariantMonitor()::reportViolation,
                 environment.requestCycle());
--- a/src/main/java/org/gullway/controller/SchedulingCycle.java
+++ b/src/main/java/org/gullway/controller/SchedulingCycle.java
@@ -13,8 +13,8 @@
 import org.gullway.coordination.model.Incarnation;
 import org.gullway.coordination.model.StoreKeys;
 import org.gullway.coordination.model.Transaction;
+import org.gullway.coordination.model.TransactionLimits;
 import org.gullway.observability.Metrics;
-import org.gullway.protocol.Settings;
 import org.gullway.storage.ReplicatedState;
 import org.gullway.transport.EventLoop;
 import org.slf4j.Logger;
@@ -36,7 +36,7 @@
     private final ClusterState clusterState;
     private final Incarnation self;
     private final ReplicatedState replicatedState;
-    private final Transaction.Limits limits;
+    private final TransactionLimits limits;
     private final CompletionBuffer completionBuffer;
     private final UserApi userApi;
     private final Metrics metrics;
@@ -55,7 +55,7 @@
         this.wallClockTime = environment.wallClockTime();
         this.clusterState = environment.clusterState();
         this.self = environment.self();
-        this.limits = limits(environment.settings());
+        this.limits = environment.transactionLimits();
         this.replicatedState = replicatedState;
         this.completionBuffer = completionBuffer;
         this.userApi = userApi;
@@ -63,10 +63,6 @@
         this.requestCycle = environment.requestCycle();
     }
 
-    private static Transaction.Limits limits(Settings settings) {
-        return new Transaction.Limits(settings.stateChangesPerCommit(), settings.stateValueBytes());
-    }
-
     /**
      * Appends a step. Steps run in the order in which they were added. If a cycle exceeds its time budget, the next
      * cycle begins with the first step that did not run, and continues with the first of all steps after the last.
--- a/src/main/java/org/gullway/coordination/model/ChangeSet.java
+++ b/src/main/java/org/gullway/coordination/model/ChangeSet.java
@@ -15,12 +15,15 @@
     private static final int CONDITION_BYTES = ("{\"k\":,\"mark\":" + Long.MAX_VALUE + "},").length();
     /** A change without its key and its value, including the separator. */
     private static final int CHANGE_BYTES = ("{\"remove\":,\"v\":,\"tether\":" + Long.MAX_VALUE + "},").length();
-    /** The state store allows keys of this many characters. */
-    private static final int MAX_KEY_CHARACTERS = 200;
+    /** The state store allows keys of 200 bytes; quotes are added. */
+    private static final int MAX_KEY_BYTES = 200 + "\"\"".length();
     /** A further change without its value: its key is in the change and in a condition, and there is one other condition. */
-    private static final int FURTHER_CHANGE_BYTES = CHANGE_BYTES + 2 * CONDITION_BYTES + 3 * MAX_KEY_CHARACTERS;
+    private static final int FURTHER_CHANGE_BYTES = CHANGE_BYTES + 2 * CONDITION_BYTES + 3 * MAX_KEY_BYTES;
+    /** Any keys of this number can be compared in one transaction that changes nothing. */
+    static final int MAX_COMPARED_KEYS =
+            (MessageLimits.MAX_MESSAGE_BYTES - ENVELOPE_BYTES) / (CONDITION_BYTES + MAX_KEY_BYTES);
 
-    private final Transaction.Limits limits;
+    private final TransactionLimits limits;
     private final Map<String, StoreRecord> changes = new LinkedHashMap<>();
     private final Set<String> conditions = new LinkedHashSet<>();
     /** Upper bound for the size of the transaction as JSON. */
@@ -28,7 +31,7 @@
     /** Space for placements that are planned, but not part of the changes yet. */
     private int reservedBytes;
 
-    ChangeSet(Transaction.Limits limits) {
+    ChangeSet(TransactionLimits limits) {
         this.limits = limits;
     }
 
--- a/src/main/java/org/gullway/coordination/model/Transaction.java
+++ b/src/main/java/org/gullway/coordination/model/Transaction.java
@@ -5,7 +5,6 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Set;
-import org.gullway.protocol.MessageLimits;
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
 
@@ -20,41 +19,16 @@
  * at most one transaction in flight.
  */
 public final class Transaction {
-    /**
-     * Limits of one transaction of the state store.
-     *
-     * @param changes maximum number of keys that it writes or removes
-     * @param conditions maximum number of keys whose versions it compares
-     * @param valueBytes maximum size of one value; at most half of {@link MessageLimits#MAX_MESSAGE_BYTES}, so that a
-     *     transaction has room for more than one value
-     */
-    public record Limits(int changes, int conditions, int valueBytes) {
-        /** The store allows this many conditions for each change that it allows. */
-        private static final int CONDITIONS_PER_CHANGE = 4;
-        /** A job that ends changes two keys: its record and its final state. */
-        private static final int MIN_CHANGES = 2;
-
-        /** The limits set by the state store. */
-        public Limits(int changes, int valueBytes) {
-            this(changes, CONDITIONS_PER_CHANGE * changes, Math.min(valueBytes, MessageLimits.MAX_MESSAGE_BYTES / 2));
-        }
-
-        /** These limits with at most {@code maxChanges} changes, but no fewer than the end of one job needs. */
-        public Limits withMaxChanges(int maxChanges) {
-            return new Limits(Math.max(MIN_CHANGES, Math.min(changes, maxChanges)), conditions, valueBytes);
-        }
-    }
-
     private static final Logger LOG = LoggerFactory.getLogger(Transaction.class);
 
     private final ClusterState clusterState;
-    private final Limits limits;
+    private final TransactionLimits limits;
     private final Instant wallClockTime;
     private final ChangeSet changeSet;
     private final RecordCapacity recordCapacity;
     private final UsageDelta usageDelta = new UsageDelta();
 
-    public Transaction(ClusterState clusterState, Incarnation self, Limits limits, Instant wallClockTime) {
+    public Transaction(ClusterState clusterState, Incarnation self, TransactionLimits limits, Instant wallClockTime) {
         this.clusterState = clusterState;
         this.limits = limits;
         this.wallClockTime = wallClockTime;
--- a/src/test/java/org/gullway/coordination/agents/ShardFailoverTest.java
+++ b/src/test/java/org/gullway/coordination/agents/ShardFailoverTest.java
@@ -7,6 +7,7 @@
 import org.gullway.coordination.model.StoreKeys;
 import org.gullway.coordination.model.TestFixtures;
 import org.gullway.coordination.model.Transaction;
+import org.gullway.coordination.model.TransactionLimits;
 import org.gullway.protocol.Priority;
 import org.gullway.protocol.TaskStatus;
 import org.gullway.protocol.TaskStatus.Cause;
@@ -37,7 +38,7 @@
         clusterState.remove(StoreKeys.member("perch-1"), 62);
         clusterState.advanceTo(62);
         Transaction small = new Transaction(
-                clusterState, TestFixtures.SELF, new Transaction.Limits(3, 16 * 1024), TestFixtures.WALL_CLOCK_TIME);
+                clusterState, TestFixtures.SELF, new TransactionLimits(3, 16 * 1024), TestFixtures.WALL_CLOCK_TIME);
         reconciler.plan(small, TestFixtures.leaderContext(now));
         TestFixtures.commit(clusterState, small, ++revision);
         Transaction second = planAndCommit();
--- a/src/test/java/org/gullway/coordination/model/TestFixtures.java
+++ b/src/test/java/org/gullway/coordination/model/TestFixtures.java
@@ -23,7 +23,7 @@
             new NetworkPartitionSettings(Map.of("perch-1", "a", "perch-2", "b"), Duration.ofSeconds(40));
 
     public static final Instant WALL_CLOCK_TIME = Instant.parse("2026-11-20T06:00:00Z");
-    public static final Transaction.Limits LIMITS = new Transaction.Limits(24, 16 * 1024);
+    public static final TransactionLimits LIMITS = new TransactionLimits(24, 16 * 1024);
 
     private TestFixtures() {}
 
--- a/src/test/java/org/gullway/storage/TransactionSizeTest.java
+++ b/src/test/java/org/gullway/storage/TransactionSizeTest.java
@@ -18,8 +18,10 @@
 import org.gullway.coordination.model.MachineRecord;
 import org.gullway.coordination.model.QuotaPartition;
 import org.gullway.coordination.model.StoreKeys;
+import org.gullway.coordination.model.StoreRecord;
 import org.gullway.coordination.model.TestFixtures;
 import org.gullway.coordination.model.Transaction;
+import org.gullway.coordination.model.TransactionLimits;
 import org.gullway.coordination.quota.TeamQuotas;
 import org.gullway.coordination.scheduling.BestEffortQueue;
 import org.gullway.coordination.scheduling.DeadlinePolicy;
@@ -89,16 +91,16 @@
         return new Transaction(clusterState, TestFixtures.SELF, TestFixtures.LIMITS, TestFixtures.WALL_CLOCK_TIME);
     }
 
-    private void assertWithinLimits(Transaction transaction) throws MalformedMessageException {
+    /** Returns the size of a transaction as the state store measures it. */
+    private int jsonBytes(Set<String> conditions, Map<String, StoreRecord> changes) throws MalformedMessageException {
         List<byte[]> bodies = new ArrayList<>();
         new StateStoreClient((address, request, callback) -> bodies.add(request.body()), "10.2.0.1:2379")
-                .commit(
-                        transaction.conditions(),
-                        clusterState::version,
-                        transaction.changes(),
-                        Long.MAX_VALUE,
-                        outcome -> {});
-        assertThat(Cbor.decode(bodies.get(0)).toString().length())
+                .commit(conditions, key -> Long.MAX_VALUE, changes, Long.MAX_VALUE, outcome -> {});
+        return Cbor.decode(bodies.get(0)).toString().length();
+    }
+
+    private void assertWithinLimits(Transaction transaction) throws MalformedMessageException {
+        assertThat(jsonBytes(transaction.conditions(), transaction.changes()))
                 .as("bytes of the transaction")
                 .isLessThanOrEqualTo(MAX_TRANSACTION_BYTES);
         assertThat(transaction.changes().values()).allSatisfy(value -> assertThat(
@@ -106,6 +108,18 @@
                 .isLessThanOrEqualTo(MAX_VALUE_BYTES));
     }
 
+    /** Guards against status queries that fail for good, since the store rejects the check of all their keys at once. */
+    @Test
+    void checksOfManyKeysFitIntoOneTransaction() throws MalformedMessageException {
+        TransactionLimits manyChanges = new TransactionLimits(10_000, MAX_VALUE_BYTES);
+        Set<String> keys = new LinkedHashSet<>();
+        for (int i = 0; i < manyChanges.maxComparedKeys(); i++) {
+            keys.add(String.format("%0200d", i));
+        }
+        assertThat(jsonBytes(keys, Map.of())).isBetween(MAX_TRANSACTION_BYTES * 3 / 4, MAX_TRANSACTION_BYTES);
+        assertThat(TestFixtures.LIMITS.maxComparedKeys()).isEqualTo(TestFixtures.LIMITS.conditions());
+    }
+
     /** Guards against a queue that places nothing for good, since its placements exceed one transaction every time. */
     @Test
     void largeJobsOfAllTeamsArePlacedInSeveralTransactions() throws MalformedMessageException {
