Most jobs are known to fit into their record without a look at their placements

Cause: the rule of RecordCapacity is asked for every waiting job several times a cycle, and measured the texts of its request each time. BestEffortQueue asks for jobs with waiting tasks only. RecordCapacityTest is unchanged and checks that the result is the same.

--- a/src/main/java/org/gullway/coordination/model/JobRecordSize.java
+++ b/src/main/java/org/gullway/coordination/model/JobRecordSize.java
@@ -2,7 +2,10 @@
 
 import java.time.Duration;
 import java.time.Instant;
+import java.util.List;
+import org.gullway.protocol.JobRequest;
 import org.gullway.protocol.JsonSize;
+import org.gullway.protocol.MessageFields;
 
 /**
  * Upper bounds for the encoded size of a job's record, as the state store measures it. They allow for what the record
@@ -19,6 +22,17 @@
     /** Brackets and separators of a placement, and the separator of its mark if it is stopped. */
     private static final int PLACEMENT_PUNCTUATION_BYTES = "[,,,,],,".length();
 
+    /** A range of completed tasks, with its separators. */
+    private static final int MAX_RANGE_BYTES = 2 * (JsonSize.ofInteger(JobRequest.MAX_TASKS) + 1);
+    /** A placement with the longest numbers, without its machine and agent epoch. */
+    private static final int MAX_PLACEMENT_BYTES_WITHOUT_MACHINE = PLACEMENT_PUNCTUATION_BYTES
+            + 2 * JsonSize.ofInteger(Long.MAX_VALUE)
+            + 2 * JsonSize.ofInteger(JobRequest.MAX_TASKS);
+    /** Any text of a request, or the name of an owner, with a separator. */
+    private static final int MAX_TEXT_BYTES = JsonSize.maxOfText(MessageFields.MAX_TEXT_CHARACTERS) + 1;
+    /** The fields of a request that are texts: class, team, image and zone. */
+    private static final int REQUEST_TEXTS = 4;
+
     private JobRecordSize() {}
 
     static int maxBytes(JobRecord job) {
@@ -63,4 +77,19 @@
                 + 2 * JsonSize.ofInteger(job.request().tasks())
                 + JsonSize.ofInteger(job.attemptCount() + job.request().tasks());
     }
+
+    /**
+     * An upper bound for the size of the record with all unfinished tasks placed, computed from counts only. Between two
+     * ranges of completed tasks there is an unfinished one, so their number is limited, too.
+     *
+     * @param longest the names and agent epochs of all machines are no longer than these
+     */
+    static long roughMaxBytesWithAllTasksPlaced(JobRecord job, LongestMachineFields longest) {
+        List<String> machineTypes = job.request().machineTypes();
+        int texts = 1 + REQUEST_TEXTS + (machineTypes == null ? 0 : machineTypes.size());
+        int fixedBytes = OTHER_FIELDS.length() + JobRequest.MAX_JSON_BYTES_WITHOUT_TEXTS + texts * MAX_TEXT_BYTES;
+        int taskBytes =
+                MAX_PLACEMENT_BYTES_WITHOUT_MACHINE + longest.nameBytes() + longest.agentEpochBytes() + MAX_RANGE_BYTES;
+        return fixedBytes + (job.unfinishedTasks() + 1L) * taskBytes;
+    }
 }
--- a/src/main/java/org/gullway/coordination/model/RecordCapacity.java
+++ b/src/main/java/org/gullway/coordination/model/RecordCapacity.java
@@ -34,6 +34,9 @@
         if (waiting == 0) {
             return 0;
         }
+        if (hasRoomByCounts(job)) {
+            return waiting;
+        }
         int placementBytes = maxPlacementBytes(job);
         return hasRoomForAllTasks(job, placementBytes)
                 ? waiting
@@ -58,8 +61,16 @@
     }
 
     /**
-     * Returns whether the record has room even if every unfinished task takes as much space as the next one. This is
-     * faster than {@link #remainingPlacements}, which measures each placement.
+     * Returns true only if the record has room for all unfinished tasks; false means unknown. This is the fastest of
+     * the three checks, and suffices for most jobs.
+     */
+    private boolean hasRoomByCounts(JobRecord job) {
+        return JobRecordSize.roughMaxBytesWithAllTasksPlaced(job, clusterState.longestMachineFields()) <= valueBytes;
+    }
+
+    /**
+     * Returns true only if the record has room even if every unfinished task takes as much space as the next one; false
+     * means unknown. This is faster than {@link #remainingPlacements}, which measures each placement.
      */
     private boolean hasRoomForAllTasks(JobRecord job, int placementBytes) {
         long placementsBytes = (long) job.unfinishedTasks() * placementBytes;
--- a/src/main/java/org/gullway/coordination/scheduling/BestEffortQueue.java
+++ b/src/main/java/org/gullway/coordination/scheduling/BestEffortQueue.java
@@ -121,12 +121,11 @@
     private WaitingJobs waitingJobs(Transaction transaction, Instant now) {
         List<JobRecord> ownJobs = new ArrayList<>();
         double smallestPeerTaskCpus = Double.POSITIVE_INFINITY;
-        for (JobRecord storedJob : clusterState.jobs()) {
-            JobRecord job = transaction.job(storedJob.request().id());
-            if (job != null
-                    && !job.isReserved()
-                    && transaction.recordCapacity().startableTasks(job) > 0
-                    && !backoff.isBackedOff(job, now)) {
+        for (JobRecord job : clusterState.jobs()) {
+            if (!job.isReserved()
+                    && job.waitingTasks() > 0
+                    && !backoff.isBackedOff(job, now)
+                    && hasStartableTask(job, transaction)) {
                 if (self.equals(job.owner())) {
                     ownJobs.add(job);
                 } else {
@@ -138,6 +137,11 @@
         return new WaitingJobs(ownJobs, smallestPeerTaskCpus);
     }
 
+    private static boolean hasStartableTask(JobRecord storedJob, Transaction transaction) {
+        JobRecord job = transaction.job(storedJob.request().id());
+        return job != null && transaction.recordCapacity().startableTasks(job) > 0;
+    }
+
     private void addMachinesWithFreeCpus(
             List<MachineRecord> machines, Transaction transaction, Map<MachineRecord, ResourceOffer> offerByMachine) {
         for (MachineRecord machine : machines) {
--- a/src/main/java/org/gullway/protocol/JobRequest.java
+++ b/src/main/java/org/gullway/protocol/JobRequest.java
@@ -86,6 +86,9 @@
             + LONGEST_AMOUNT + ",\"waypoint_s\":" + LONGEST_AMOUNT + ",\"stow_s\":" + LONGEST_AMOUNT
             + ",\"landfall_s\":" + LONGEST_AMOUNT + "}";
 
+    /** An upper bound for the size of a request as JSON without its texts, except the id. */
+    public static final int MAX_JSON_BYTES_WITHOUT_TEXTS = LONGEST_FIELDS.length();
+
     public static boolean isValidId(String text) {
         return ID.matcher(text).matches();
     }
