A watch response beyond 2 MiB is dropped, and all keys are read anew

Cause: the watch stays open in that time and is then answered with all changes since its revision, 10 to 12 MB in the case. Decoding it into one tree needs more than the heap, and the error is thrown before the outcome reaches the watch, which alone sends the next one. ReplicatedStateTest#afterManyChangesAllKeysAreReadInPlaceOfOneLargeResponse failed before: one response with the changes of 12 s, no read of the keys. Change: HttpRequest may limit the response. The client drops a larger one while it is received, and the outcome is TOO_LARGE. WatchStream then reads all keys, page by page, as it does when the store no longer has the changes. Why it works: the tree of a response within the limit fits into the heap, and the next watch begins at the revision of the read, so its response is small.

--- a/src/main/java/org/gullway/agent/CommandSender.java
+++ b/src/main/java/org/gullway/agent/CommandSender.java
@@ -147,7 +147,7 @@
                     : CommandOutcome.UNKNOWN;
             case NO_SOCKET -> CommandOutcome.NO_SOCKET;
             case NOT_SENT -> CommandOutcome.NOT_SENT;
-            case UNKNOWN -> CommandOutcome.UNKNOWN;
+            case TOO_LARGE, UNKNOWN -> CommandOutcome.UNKNOWN;
         };
     }
 
--- a/src/main/java/org/gullway/storage/StateStoreClient.java
+++ b/src/main/java/org/gullway/storage/StateStoreClient.java
@@ -33,6 +33,10 @@
     static final Duration RETRY_DELAY = Duration.ofMillis(250);
 
     private static final int PAGE_SIZE = 500;
+    /** The store's limit for one page of a list. */
+    private static final int MAX_PAGE_BYTES = 512 * 1024;
+    /** Beyond this size it takes less memory to read all keys page by page than the changes in one response. */
+    static final int MAX_WATCH_RESPONSE_BYTES = 4 * MAX_PAGE_BYTES;
 
     private final HttpClient httpClient;
     private final String address;
@@ -86,6 +90,11 @@
             return hasStatus(HttpStatus.GONE);
         }
 
+        /** Returns true if the response was dropped because of its size. */
+        boolean isTooLarge() {
+            return httpOutcome == HttpResponse.Outcome.TOO_LARGE;
+        }
+
         /** Returns true if the request was malformed, or tried to write a key on an expired lease. */
         boolean isBadRequest() {
             return hasStatus(HttpStatus.BAD_REQUEST);
@@ -103,7 +112,7 @@
             return switch (httpOutcome) {
                 case ANSWERED -> !isConclusive();
                 case NOT_SENT, NO_SOCKET -> false;
-                case UNKNOWN -> true;
+                case TOO_LARGE, UNKNOWN -> true;
             };
         }
 
@@ -179,11 +188,14 @@
 
     /**
      * Requests the changes under the prefix after a revision. The store responds as soon as there are changes, or after
-     * the duration {@code wait} if there are none.
+     * the duration {@code wait} if there are none. The protocol has no limit for the response, which contains all
+     * changes; beyond {@link #MAX_WATCH_RESPONSE_BYTES} the outcome is {@link Outcome#isTooLarge}.
      */
     public void watch(String prefix, long afterRevision, Duration wait, Consumer<Outcome> callback) {
         String path = "/watch?under=" + prefix + "&from=" + afterRevision + "&block_ms=" + wait.toMillis();
-        send(HttpRequest.get(path, wait.plus(REQUEST_TIMEOUT)), callback);
+        send(
+                HttpRequest.get(path, wait.plus(REQUEST_TIMEOUT)).withMaxResponseBytes(MAX_WATCH_RESPONSE_BYTES),
+                callback);
     }
 
     /** Requests a new lease. */
--- a/src/main/java/org/gullway/storage/WatchStream.java
+++ b/src/main/java/org/gullway/storage/WatchStream.java
@@ -195,7 +195,11 @@
             if (!isCurrent(readGeneration)) {
                 return;
             }
-            if (outcome.isGone()) {
+            if (outcome.isGone() || outcome.isTooLarge()) {
+                LOG.info(
+                        "watch cannot continue from its revision; starting a full read watched_revision={} reason={}",
+                        afterRevision,
+                        outcome.isGone() ? "changes_not_retained" : "response_too_large");
                 readAll();
             } else if (outcome.isOkWithBody()) {
                 runOrRetry(
--- a/src/main/java/org/gullway/transport/HttpResponse.java
+++ b/src/main/java/org/gullway/transport/HttpResponse.java
@@ -21,6 +21,11 @@
          * unreachable.
          */
         NO_SOCKET,
+        /**
+         * The request was processed, but its response was dropped, since it is larger than the request allows. The
+         * status is unknown.
+         */
+        TOO_LARGE,
         /** No complete response was received. The request may have been processed, or may still be processed later. */
         UNKNOWN
     }
@@ -37,6 +42,10 @@
         return new HttpResponse(Outcome.NO_SOCKET, 0, EMPTY);
     }
 
+    public static HttpResponse tooLarge() {
+        return new HttpResponse(Outcome.TOO_LARGE, 0, EMPTY);
+    }
+
     public static HttpResponse unknown() {
         return new HttpResponse(Outcome.UNKNOWN, 0, EMPTY);
     }
--- a/src/main/java/org/gullway/transport/UndertowHttpClient.java
+++ b/src/main/java/org/gullway/transport/UndertowHttpClient.java
@@ -233,6 +233,10 @@
                         return;
                     }
                     buffer.flip();
+                    if (received.size() + buffer.remaining() > request.maxResponseBytes()) {
+                        finish(HttpResponse.tooLarge());
+                        return;
+                    }
                     received.write(buffer.array(), buffer.arrayOffset() + buffer.position(), buffer.remaining());
                 }
             } catch (IOException e) {
--- a/src/test/java/org/gullway/BehaviourFingerprint.java
+++ b/src/test/java/org/gullway/BehaviourFingerprint.java
@@ -76,6 +76,7 @@
                 case NOT_SENT -> "1";
                 case NO_SOCKET -> "2";
                 case UNKNOWN -> "3";
+                case TOO_LARGE -> "4";
             };
         }
 
--- a/src/test/java/org/gullway/fake/SimulatedNetwork.java
+++ b/src/test/java/org/gullway/fake/SimulatedNetwork.java
@@ -301,7 +301,9 @@
             if (!partitions.isCut(delivery.from(), delivery.address())
                     && !partitions.dropsResponses(delivery.from())
                     && !delivery.sender().killed()) {
-                runInProcess(delivery.sender(), () -> delivery.onResponse().accept(response));
+                boolean fits = response.body().length <= delivery.request().maxResponseBytes();
+                HttpResponse received = fits ? response : HttpResponse.tooLarge();
+                runInProcess(delivery.sender(), () -> delivery.onResponse().accept(received));
             }
         });
     }
--- a/src/test/java/org/gullway/storage/ReplicatedStateTest.java
+++ b/src/test/java/org/gullway/storage/ReplicatedStateTest.java
@@ -5,12 +5,16 @@
 import java.time.Duration;
 import java.time.Instant;
 import java.util.ArrayList;
+import java.util.LinkedHashSet;
 import java.util.List;
+import java.util.Map;
+import java.util.Set;
 import net.jqwik.api.ForAll;
 import net.jqwik.api.Property;
 import net.jqwik.api.constraints.IntRange;
 import org.gullway.coordination.membership.Membership;
 import org.gullway.coordination.model.ClusterState;
+import org.gullway.coordination.model.CordonedMachines;
 import org.gullway.coordination.model.Incarnation;
 import org.gullway.coordination.model.StoreKeys;
 import org.gullway.coordination.model.TestFixtures;
@@ -33,6 +37,34 @@
         assertThat(store.value(StoreKeys.FENCING_TOKEN).path("epoch").asLong()).isEqualTo(1);
     }
 
+    /** Guards against a controller that runs out of memory, and hangs, on a response with all changes of a long gap. */
+    @Test
+    void afterManyChangesAllKeysAreReadInPlaceOfOneLargeResponse() {
+        SimulatedTime.SimulatedProcess peerProcess = time.newProcess();
+        StateStoreClient peer = new StateStoreClient(network.client("perch-1", peerProcess), STORE_ADDRESS);
+        store.rejectFrom("perch-0", true);
+        Set<String> cordoned = new LinkedHashSet<>();
+        for (int i = 0; i < 1000; i++) {
+            cordoned.add("vm-" + (100_000 + i));
+        }
+        for (int i = 0; i < 300; i++) {
+            cordoned.remove("vm-" + (100_000 + i));
+            peer.commit(
+                    List.of(),
+                    key -> 0,
+                    Map.of(StoreKeys.CORDONED, new CordonedMachines(Set.copyOf(cordoned))),
+                    0,
+                    outcome -> {});
+            time.runUntil(time.now().plusMillis(40));
+        }
+        storeRequests.clear();
+        store.rejectFrom("perch-0", false);
+        run(3);
+        assertThat(storeRequests).contains("GET /store");
+        assertThat(replicatedState.isFresh()).isTrue();
+        assertThat(clusterState.cordonedMachines()).hasSize(700);
+    }
+
     @Test
     void commitsStayWithinTheChangeRateLimit() {
         int sent = 0;
--- a/src/test/java/org/gullway/transport/UndertowHttpClientTest.java
+++ b/src/test/java/org/gullway/transport/UndertowHttpClientTest.java
@@ -22,6 +22,9 @@
     private static final int SOCKETS = 100;
     private static final Duration TIMEOUT = Duration.ofSeconds(5);
 
+    private static final String LARGE_PATH = "/large";
+    private static final int LARGE_BODY_BYTES = 3_000_000;
+
     private final XnioWorker worker;
     private final XnioEventLoop loop;
     private final UndertowHttpClient client;
@@ -34,8 +37,12 @@
         DefaultByteBufferPool buffers = new DefaultByteBufferPool(false, 8192);
         SocketBudget socketBudget = new SocketBudget(SOCKETS);
         client = new UndertowHttpClient(loop, buffers, socketBudget, Set.of());
-        serverAddress = HttpServer.start(
-                worker, buffers, socketBudget, "127.0.0.1:0", 1000, exchange -> exchange.respond(HttpStatus.OK));
+        serverAddress =
+                HttpServer.start(worker, buffers, socketBudget, "127.0.0.1:0", 1000, UndertowHttpClientTest::respond);
+    }
+
+    private static void respond(HttpExchange exchange) {
+        exchange.respond(HttpStatus.OK, new byte[exchange.path().equals(LARGE_PATH) ? LARGE_BODY_BYTES : 0]);
     }
 
     @AfterEach
@@ -73,6 +80,23 @@
         }
     }
 
+    /** Guards against a response that uses up the memory, and against sockets that are lost to such responses. */
+    @Test
+    void responsesBeyondTheLimitOfTheRequestAreDropped() throws Exception {
+        for (int i = 0; i < 2 * SOCKETS; i++) {
+            HttpRequest request = HttpRequest.get(LARGE_PATH, TIMEOUT).withMaxResponseBytes(LARGE_BODY_BYTES - 1);
+            assertThat(call(request).outcome()).isEqualTo(HttpResponse.Outcome.TOO_LARGE);
+        }
+        HttpRequest request = HttpRequest.get(LARGE_PATH, TIMEOUT).withMaxResponseBytes(LARGE_BODY_BYTES);
+        assertThat(call(request).body()).hasSize(LARGE_BODY_BYTES);
+    }
+
+    private HttpResponse call(HttpRequest request) throws Exception {
+        CompletableFuture<HttpResponse> response = new CompletableFuture<>();
+        loop.execute(() -> client.call(serverAddress, request, response::complete));
+        return response.get(TIMEOUT.toSeconds() - 1, TimeUnit.SECONDS);
+    }
+
     /** Guards against sockets of the budget that are lost to connections that were never attempted. */
     @Test
     void invalidAddressesDoNotUseUpTheSocketBudget() throws Exception {
