--- a/src/main/java/org/gullway/agent/HeartbeatHandler.java
+++ b/src/main/java/org/gullway/agent/HeartbeatHandler.java
@@ -10,6 +10,7 @@
 import org.gullway.coordination.cancellation.LeaseRenewalPolicy;
 import org.gullway.coordination.model.ClusterState;
 import org.gullway.protocol.AgentCommand;
+import org.gullway.protocol.ErrorMessage;
 import org.gullway.protocol.Heartbeat;
 import org.gullway.protocol.HeartbeatResponseEncoder;
 import org.gullway.protocol.MalformedMessageException;
@@ -78,7 +79,7 @@
             heartbeat = parse(exchange);
         } catch (MalformedMessageException e) {
             LOG.info("rejected a malformed heartbeat error={}", e.getMessage());
-            exchange.respond(HttpStatus.BAD_REQUEST);
+            exchange.respond(HttpStatus.BAD_REQUEST, ErrorMessage.encode(e.getMessage()));
             return;
         }
         if (holdsValidLease) {
--- a/src/main/java/org/gullway/api/CancellationHandler.java
+++ b/src/main/java/org/gullway/api/CancellationHandler.java
@@ -6,6 +6,7 @@
 import org.gullway.coordination.model.ClusterState;
 import org.gullway.coordination.model.JobRecord;
 import org.gullway.coordination.model.Transaction;
+import org.gullway.protocol.Count;
 import org.gullway.protocol.JobRequest;
 import org.gullway.protocol.JobStatus;
 import org.gullway.storage.ReplicatedState;
@@ -33,7 +34,7 @@
      * @param readRevision revision at which the job was read from the state store by key; 0 if the job was found in the
      *     cluster state instead
      */
-    private record Cancellation(String jobId, long readRevision) {}
+    private record Cancellation(String jobId, Count readRevision) {}
 
     CancellationHandler(RequestContext context, JobLookup jobLookup) {
         this.context = context;
@@ -58,7 +59,7 @@
             jobLookup.lookUp(
                     id, result -> cancelIfLive(result, request), () -> UserResponses.rejectTemporarily(request));
         } else {
-            enqueue(id, request, 0);
+            enqueue(id, request, Count.ZERO);
         }
     }
 
@@ -70,7 +71,7 @@
         }
     }
 
-    private void enqueue(String id, UserRequest request, long readRevision) {
+    private void enqueue(String id, UserRequest request, Count readRevision) {
         pending.add(id, request, () -> new Cancellation(id, readRevision));
         context.requestCycle().run();
     }
@@ -104,7 +105,7 @@
         // was read by key, however, the watch may not have delivered it to the cluster state yet. The lookup waits
         // until the cluster state has reached the revision of that read; otherwise each scheduling cycle would read
         // the job again and use up the read rate limit that cancellations share with submissions.
-        if (clusterState.job(id) == null && clusterState.watchedRevision() >= cancellation.readRevision()) {
+        if (clusterState.job(id) == null && clusterState.watchedRevision().isAtLeast(cancellation.readRevision())) {
             return Optional.of(request -> cancel(id, request));
         }
         return Optional.empty();
--- a/src/main/java/org/gullway/api/JobReader.java
+++ b/src/main/java/org/gullway/api/JobReader.java
@@ -9,6 +9,7 @@
 import org.gullway.coordination.model.FinalState;
 import org.gullway.coordination.model.JobRecord;
 import org.gullway.coordination.model.StoreKeys;
+import org.gullway.protocol.Count;
 import org.gullway.protocol.JobState;
 import org.gullway.protocol.JobStatus;
 import org.gullway.protocol.MalformedMessageException;
@@ -126,14 +127,14 @@
         }
     }
 
-    private static Found found(Read read, JobStatus status, long revision) {
+    private static Found found(Read read, JobStatus status, Count revision) {
         if (status.state().isFinal()) {
             return new Found(status, new StateFreshness(StateFreshness.Source.FINAL_STATE, revision, read.sentAt()));
         }
         return new Found(status, freshness(read, revision));
     }
 
-    private static StateFreshness freshness(Read read, long revision) {
+    private static StateFreshness freshness(Read read, Count revision) {
         return new StateFreshness(StateFreshness.Source.READ, revision, read.sentAt());
     }
 }
--- a/src/main/java/org/gullway/api/LinearizableResponses.java
+++ b/src/main/java/org/gullway/api/LinearizableResponses.java
@@ -9,6 +9,7 @@
 import org.gullway.api.JobLookupResult.Found;
 import org.gullway.coordination.cycle.ErrorIsolation;
 import org.gullway.protocol.Cbor;
+import org.gullway.protocol.ErrorMessage;
 import org.gullway.protocol.JobStatus;
 import org.gullway.transport.EventLoop;
 import org.gullway.transport.HttpStatus;
@@ -83,7 +84,7 @@
         JobLookupResult newest = preferFinalState(result);
         Response response = newest instanceof Found found
                 ? Response.withTaskCounts(found)
-                : new Response(HttpStatus.UNPROCESSABLE, UserResponses.encodeError(reason));
+                : new Response(HttpStatus.UNPROCESSABLE, ErrorMessage.encode(reason));
         respond(List.of(request), newest, response);
     }
 
--- a/src/main/java/org/gullway/api/StateFreshness.java
+++ b/src/main/java/org/gullway/api/StateFreshness.java
@@ -1,6 +1,7 @@
 package org.gullway.api;
 
 import java.time.Instant;
+import org.gullway.protocol.Count;
 
 /**
  * Describes how a job's state became known and how recent it is. {@link LinearizableResponses} needs this to decide
@@ -11,7 +12,7 @@
  * @param notOlderThan when the request to the state store that read or wrote the state was sent; the state was current
  *     at some moment from then on
  */
-record StateFreshness(Source source, long revision, Instant notOlderThan) {
+record StateFreshness(Source source, Count revision, Instant notOlderThan) {
     /** How a job's state became known. */
     enum Source {
         /** The job's final state was found in memory or in the state store; it never changes again. */
@@ -26,7 +27,7 @@
 
     /** Returns the freshness of a final state from memory, which is fresh for every request. */
     static StateFreshness ofFinalState() {
-        return new StateFreshness(Source.FINAL_STATE, 0, Instant.MIN);
+        return new StateFreshness(Source.FINAL_STATE, Count.ZERO, Instant.MIN);
     }
 
     /** Returns whether a response to a request that arrived at {@code arrivedAt} may contain the state. */
--- a/src/main/java/org/gullway/api/SubmissionHandler.java
+++ b/src/main/java/org/gullway/api/SubmissionHandler.java
@@ -120,7 +120,7 @@
         if (requests.isEmpty()) {
             return;
         }
-        boolean isLatestVersion = clusterState.version(StoreKeys.job(id)) == freshness.revision();
+        boolean isLatestVersion = clusterState.version(StoreKeys.job(id)).equals(freshness.revision());
         Found committed = new Found(job.status(), freshness);
         for (UserRequest request : requests) {
             if (isLatestVersion && freshness.isFreshFor(request.arrivedAt())) {
--- a/src/main/java/org/gullway/api/UserApi.java
+++ b/src/main/java/org/gullway/api/UserApi.java
@@ -11,6 +11,7 @@
 import org.gullway.coordination.model.JobRecord;
 import org.gullway.coordination.model.StoreKeys;
 import org.gullway.coordination.model.Transaction;
+import org.gullway.protocol.Count;
 import org.gullway.protocol.JobStatus;
 import org.gullway.storage.ReplicatedState;
 import org.gullway.transport.EventLoop;
@@ -108,7 +109,7 @@
      * @param revision revision of the state store at which the transaction was committed
      * @param sentAt when the transaction was sent
      */
-    public void onCommitted(Transaction transaction, long revision, Instant sentAt) {
+    public void onCommitted(Transaction transaction, Count revision, Instant sentAt) {
         StateFreshness freshness = new StateFreshness(StateFreshness.Source.COMMIT, revision, sentAt);
         transaction.changes().forEach((key, value) -> {
             if (value instanceof FinalState finalState) {
--- a/src/main/java/org/gullway/api/UserResponses.java
+++ b/src/main/java/org/gullway/api/UserResponses.java
@@ -2,6 +2,7 @@
 
 import java.time.Duration;
 import org.gullway.protocol.Cbor;
+import org.gullway.protocol.ErrorMessage;
 import org.gullway.protocol.JobStatus;
 import org.gullway.transport.HttpStatus;
 
@@ -24,11 +25,6 @@
                 .put("tide", status.state().wireName()));
     }
 
-    /** Encodes the reason for a rejection. */
-    static byte[] encodeError(String reason) {
-        return Cbor.encode(Cbor.map().put("error", reason));
-    }
-
     /** Responds with 404 to a request with an invalid job id, since no job can have that id. */
     static void rejectInvalidId(UserRequest request) {
         request.exchange().respond(HttpStatus.NOT_FOUND, EMPTY_BODY);
@@ -36,7 +32,7 @@
 
     /** Responds with 400 and the reason to a request whose body is malformed. */
     static void rejectMalformed(UserRequest request, String reason) {
-        request.exchange().respond(HttpStatus.BAD_REQUEST, encodeError(reason));
+        request.exchange().respond(HttpStatus.BAD_REQUEST, ErrorMessage.encode(reason));
     }
 
     /** Responds with 429 to a request that is rejected because too many requests are pending. */
--- a/src/main/java/org/gullway/cloud/MachineRecorder.java
+++ b/src/main/java/org/gullway/cloud/MachineRecorder.java
@@ -11,6 +11,7 @@
 import org.gullway.coordination.model.MachineRecord;
 import org.gullway.coordination.model.MachineRecord.MachineLifecycle;
 import org.gullway.coordination.model.Transaction;
+import org.gullway.protocol.Count;
 
 /**
  * Updates the machine records from the inventory: adds provisioned machines, declares failed machines lost, and removes
@@ -54,7 +55,7 @@
             UnrecordedMachine machine = entry.getValue();
             Instant provisionedAt = machine.provisionedAtOr(transaction.wallClockTime());
             if (!assignment.assign(MachineRecord.booting(
-                    entry.getKey(), machine.type(), machine.zone(), machine.spot(), provisionedAt, self, 0))) {
+                    entry.getKey(), machine.type(), machine.zone(), machine.spot(), provisionedAt, self, Count.ZERO))) {
                 return;
             }
         }
--- a/src/main/java/org/gullway/controller/Controller.java
+++ b/src/main/java/org/gullway/controller/Controller.java
@@ -11,7 +11,6 @@
 import org.gullway.coordination.cycle.ErrorIsolation;
 import org.gullway.coordination.model.ClusterState;
 import org.gullway.coordination.model.Incarnation;
-import org.gullway.coordination.model.StoreKeys;
 import org.gullway.coordination.scheduling.BestEffortQueue;
 import org.gullway.observability.ClusterSummary;
 import org.gullway.observability.LeadershipLog;
@@ -204,8 +203,7 @@
 
     /** Called in every cycle with a valid lease, so the called methods must tolerate repeated calls. */
     private void onCycleWithValidLease(Instant now) {
-        leadershipLog.observe(
-                clusterState.leader(), clusterState.fencingToken(), clusterState.version(StoreKeys.LEADER));
+        leadershipLog.observe(clusterState);
         hasHeldValidLease = true;
         requests.heartbeatHandler().onValidLease();
         agents.leaseRenewal().reset();
--- a/src/main/java/org/gullway/coordination/agents/AgentConditionPlanner.java
+++ b/src/main/java/org/gullway/coordination/agents/AgentConditionPlanner.java
@@ -6,6 +6,7 @@
 import org.gullway.coordination.model.MachineRecord;
 import org.gullway.coordination.model.MachineRecord.MachineLifecycle;
 import org.gullway.coordination.model.Transaction;
+import org.gullway.protocol.Count;
 
 /**
  * Changes records according to the state of individual agents. A start with unknown outcome, or a heartbeat that is
@@ -45,7 +46,8 @@
             AgentState agent = agents.find(name);
             MachineRecord record = transaction.machine(name);
             if (agents.isAssignedInRecordedEpoch(record, agent)) {
-                tokenNeeded |= needsHigherToken(agent, transaction.fencingToken());
+                tokenNeeded |=
+                        needsHigherToken(agent, transaction.fencingToken().value());
                 excessPlacements.plan(transaction, record, agent);
                 spotNotices.plan(transaction, record, agent, now);
                 drainIfFaultyOrTerminating(transaction, record, agent, now);
@@ -56,10 +58,10 @@
         }
     }
 
-    private static boolean needsHigherToken(AgentState agent, long fencingToken) {
-        long needed = Math.max(
+    private static boolean needsHigherToken(AgentState agent, Count fencingToken) {
+        Count needed = Count.max(
                 agent.highestUnknownStartToken(), agent.listedAttempts().fencingTokenToSurpass());
-        return needed >= fencingToken;
+        return needed.isAtLeast(fencingToken);
     }
 
     private boolean mayNeedRecordChange(String name) {
--- a/src/main/java/org/gullway/coordination/agents/AgentEpochRecorder.java
+++ b/src/main/java/org/gullway/coordination/agents/AgentEpochRecorder.java
@@ -24,7 +24,7 @@
 
     /** Observes the agent epoch of a message. Returns whether it is newer than the one on record. */
     boolean observe(MachineRecord record, Heartbeat heartbeat) {
-        boolean newer = heartbeat.agentEpoch() > record.agentEpoch();
+        boolean newer = heartbeat.agentEpoch().isGreaterThan(record.agentEpoch());
         if (newer) {
             outdated.add(record.name());
         }
@@ -49,6 +49,6 @@
                 || agent.lastMessage() == null
                 || record == null
                 || !self.equals(record.controller())
-                || record.agentEpoch() >= agent.lastMessage().agentEpoch();
+                || record.agentEpoch().isAtLeast(agent.lastMessage().agentEpoch());
     }
 }
--- a/src/main/java/org/gullway/coordination/agents/AgentRegistry.java
+++ b/src/main/java/org/gullway/coordination/agents/AgentRegistry.java
@@ -79,7 +79,8 @@
      * was assigned.
      */
     boolean isAssignedAndCaughtUp(MachineRecord record) {
-        return isAssignedHere(record) && clusterState.watchedRevision() >= clusterState.machineVersion(record.name());
+        return isAssignedHere(record)
+                && clusterState.watchedRevision().isAtLeast(clusterState.machineVersion(record.name()));
     }
 
     /**
@@ -90,7 +91,7 @@
         return isAssignedAndCaughtUp(record)
                 && agent != null
                 && agent.lastMessage() != null
-                && agent.lastMessage().agentEpoch() == record.agentEpoch();
+                && agent.lastMessage().agentEpoch().equals(record.agentEpoch());
     }
 
     /**
--- a/src/main/java/org/gullway/coordination/agents/AgentState.java
+++ b/src/main/java/org/gullway/coordination/agents/AgentState.java
@@ -5,6 +5,7 @@
 import java.util.function.Consumer;
 import org.gullway.coordination.model.AttemptId;
 import org.gullway.coordination.model.MachineRecord;
+import org.gullway.protocol.Count;
 import org.gullway.protocol.Heartbeat;
 import org.gullway.protocol.TaskStatus;
 
@@ -25,12 +26,12 @@
     private Instant lastMessageAt = Instant.MIN;
     private boolean outboundPartitioned;
     private Instant spotTerminationAt;
-    private long fencingTokenOnRecord;
+    private Count fencingTokenOnRecord = Count.ZERO;
     /**
      * The highest fencing token under which a start with unknown outcome was sent, or 0; never reset. Only when the
      * agent confirms a higher token is it certain that the start can no longer arrive.
      */
-    private long highestUnknownStartToken;
+    private Count highestUnknownStartToken = Count.ZERO;
 
     private Instant nextWakeup = Instant.MIN;
 
@@ -79,7 +80,7 @@
      * lease expires, too.
      */
     void onCommandResponse(Heartbeat response, Instant now) {
-        outboundPartitioned |= lastMessage != null && response.agentEpoch() > lastMessage.agentEpoch();
+        outboundPartitioned |= lastMessage != null && response.agentEpoch().isGreaterThan(lastMessage.agentEpoch());
         accept(response, now);
     }
 
@@ -89,21 +90,21 @@
     }
 
     private boolean isNewer(Heartbeat heartbeat) {
-        return heartbeat.isNewerThan(lastMessage.agentEpoch(), lastMessage.sequence());
+        return heartbeat.isNewerThan(lastMessage);
     }
 
     private boolean accept(Heartbeat heartbeat, Instant now) {
         if (lastMessage != null && !isNewer(heartbeat)) {
             return false;
         }
-        if (lastMessage != null && lastMessage.agentEpoch() != heartbeat.agentEpoch()) {
+        if (lastMessage != null && !lastMessage.agentEpoch().equals(heartbeat.agentEpoch())) {
             listedAttempts.onNewAgentEpoch();
             completionReports.clear();
             spotTerminationAt = null;
         }
         boolean unchanged = lastMessage != null
-                && lastMessage.agentEpoch() == heartbeat.agentEpoch()
-                && lastMessage.fencingToken() == heartbeat.fencingToken()
+                && lastMessage.agentEpoch().equals(heartbeat.agentEpoch())
+                && lastMessage.fencingToken().equals(heartbeat.fencingToken())
                 && lastMessage.tasks().equals(heartbeat.tasks());
         lastMessage = heartbeat;
         contactTimeoutStart = now;
@@ -169,18 +170,18 @@
      */
     boolean hasConfirmedFencingToken(MachineRecord record) {
         return lastMessage != null
-                && lastMessage.fencingToken() >= record.fencingToken()
-                && lastMessage.fencingToken() > highestUnknownStartToken;
+                && lastMessage.fencingToken().isAtLeast(record.fencingToken())
+                && lastMessage.fencingToken().isGreaterThan(highestUnknownStartToken);
     }
 
     /** Returns the highest fencing token under which a start with unknown outcome was sent, or 0 if there was none. */
-    long highestUnknownStartToken() {
+    Count highestUnknownStartToken() {
         return highestUnknownStartToken;
     }
 
     /** Records that the outcome of a start sent under this fencing token will never be known. */
-    void onUnknownStartOutcome(long fencingToken) {
-        highestUnknownStartToken = Math.max(highestUnknownStartToken, fencingToken);
+    void onUnknownStartOutcome(Count fencingToken) {
+        highestUnknownStartToken = Count.max(highestUnknownStartToken, fencingToken);
     }
 
     /** Returns whether the agent may forget an ended attempt, see {@link ListedAttempts#mayForget}. */
@@ -193,8 +194,8 @@
      * timeout: before the failover the agent had no reason to send messages to this controller, so missing messages
      * say nothing about the agent.
      */
-    void onFencingTokenOnRecord(long fencingToken, Instant now) {
-        if (fencingToken != fencingTokenOnRecord) {
+    void onFencingTokenOnRecord(Count fencingToken, Instant now) {
+        if (!fencingToken.equals(fencingTokenOnRecord)) {
             fencingTokenOnRecord = fencingToken;
             contactTimeoutStart = now;
             commands.clearUnanswered();
@@ -206,7 +207,7 @@
      * a change of records.
      */
     boolean mayNeedRecordChange() {
-        return highestUnknownStartToken != 0
+        return !highestUnknownStartToken.isZero()
                 || spotTerminationAt != null
                 || !failures.isEmpty()
                 || listedAttempts.hasHeldBackStarts()
--- a/src/main/java/org/gullway/coordination/agents/CommandDispatcher.java
+++ b/src/main/java/org/gullway/coordination/agents/CommandDispatcher.java
@@ -143,11 +143,13 @@
     private boolean needsProbe(
             MachineRecord record, AgentState agent, boolean assignedInRecordedEpoch, boolean tokenConfirmed) {
         Heartbeat last = agent.lastMessage();
-        boolean epochUnknown = last == null || last.agentEpoch() < record.agentEpoch();
+        boolean epochUnknown = last == null || record.agentEpoch().isGreaterThan(last.agentEpoch());
         // Starts that are held back wait until the agent may forget ended attempts, which requires a higher token.
         boolean waitsForToken = !tokenConfirmed || agent.listedAttempts().hasHeldBackStarts();
         return epochUnknown
-                || (assignedInRecordedEpoch && waitsForToken && last.fencingToken() < clusterState.fencingToken());
+                || (assignedInRecordedEpoch
+                        && waitsForToken
+                        && clusterState.fencingToken().isGreaterThan(last.fencingToken()));
     }
 
     /** Handles the outcome of a batch. */
--- a/src/main/java/org/gullway/coordination/agents/CommandPlanner.java
+++ b/src/main/java/org/gullway/coordination/agents/CommandPlanner.java
@@ -51,7 +51,7 @@
         List<AgentCommand> commands = new ArrayList<>();
         Map<AttemptId, Placement> placements = clusterState.placementsOn(record.name());
         placements.forEach((id, placement) -> {
-            if (placement.agentEpoch() == record.agentEpoch()) {
+            if (placement.agentEpoch().equals(record.agentEpoch())) {
                 addCommandFor(commands, id, placement, agent.tasks().get(id));
             }
         });
--- a/src/main/java/org/gullway/coordination/agents/CompletionReporter.java
+++ b/src/main/java/org/gullway/coordination/agents/CompletionReporter.java
@@ -44,7 +44,7 @@
     void observe(MachineRecord record, AgentState agent, Instant now) {
         boolean tokenConfirmed = agent.hasConfirmedFencingToken(record);
         clusterState.placementsOn(record.name()).forEach((id, placement) -> {
-            if (placement.agentEpoch() == record.agentEpoch()) {
+            if (placement.agentEpoch().equals(record.agentEpoch())) {
                 observe(id, placement, agent, tokenConfirmed, now);
             }
         });
--- a/src/main/java/org/gullway/coordination/agents/HeartbeatReceiver.java
+++ b/src/main/java/org/gullway/coordination/agents/HeartbeatReceiver.java
@@ -42,7 +42,7 @@
     }
 
     HeartbeatResponse onHeartbeat(Heartbeat heartbeat, Instant now) {
-        if (heartbeat.fencingToken() > clusterState.fencingToken()) {
+        if (heartbeat.fencingToken().isGreaterThan(clusterState.fencingToken())) {
             return new HeartbeatResponse.NotReady();
         }
         MachineRecord record = clusterState.machine(heartbeat.machine());
--- a/src/main/java/org/gullway/coordination/agents/HeartbeatResponse.java
+++ b/src/main/java/org/gullway/coordination/agents/HeartbeatResponse.java
@@ -2,6 +2,7 @@
 
 import java.util.List;
 import org.gullway.protocol.AgentCommand;
+import org.gullway.protocol.Count;
 
 /** The response to a heartbeat. */
 public sealed interface HeartbeatResponse {
@@ -10,7 +11,7 @@
      *
      * @param mayRequireCycle whether the heartbeat may require a scheduling cycle
      */
-    record Accepted(long fencingToken, List<AgentCommand> commands, boolean mayRequireCycle)
+    record Accepted(Count fencingToken, List<AgentCommand> commands, boolean mayRequireCycle)
             implements HeartbeatResponse {}
 
     /** The agent is told to send its heartbeats to the named controller. */
--- a/src/main/java/org/gullway/coordination/agents/ListedAttempts.java
+++ b/src/main/java/org/gullway/coordination/agents/ListedAttempts.java
@@ -4,6 +4,7 @@
 import java.util.Map;
 import java.util.Set;
 import org.gullway.coordination.model.AttemptId;
+import org.gullway.protocol.Count;
 import org.gullway.protocol.Heartbeat;
 import org.gullway.protocol.MessageLimits;
 import org.gullway.protocol.TaskStatus;
@@ -22,7 +23,7 @@
      * For each attempt that ended without success: the fencing token that the agent reported when this controller
      * first saw the end.
      */
-    private final Map<AttemptId, Long> fencingTokenAtEnd = new HashMap<>();
+    private final Map<AttemptId, Count> fencingTokenAtEnd = new HashMap<>();
 
     private int heldBackStarts;
 
@@ -72,9 +73,12 @@
      *
      * @param confirmedToken the fencing token in the agent's newest message
      */
-    boolean mayForget(AttemptId id, TaskStatus task, long confirmedToken) {
-        return task.cause() == TaskStatus.Cause.DONE
-                || confirmedToken > fencingTokenAtEnd.getOrDefault(id, Long.MAX_VALUE);
+    boolean mayForget(AttemptId id, TaskStatus task, Count confirmedToken) {
+        if (task.cause() == TaskStatus.Cause.DONE) {
+            return true;
+        }
+        Count tokenAtEnd = fencingTokenAtEnd.get(id);
+        return tokenAtEnd != null && confirmedToken.isGreaterThan(tokenAtEnd);
     }
 
     /** Records how many starts were left out of the agent's commands, since it cannot list more attempts. */
@@ -95,13 +99,13 @@
      * Returns the fencing token that the agent has to surpass so that the list can be shortened, or 0 if it need not
      * be. See {@link #mayForget}.
      */
-    long fencingTokenToSurpass() {
+    Count fencingTokenToSurpass() {
         if (!isNearlyFull()) {
-            return 0;
+            return Count.ZERO;
         }
-        long highest = 0;
-        for (long token : fencingTokenAtEnd.values()) {
-            highest = Math.max(highest, token);
+        Count highest = Count.ZERO;
+        for (Count token : fencingTokenAtEnd.values()) {
+            highest = Count.max(highest, token);
         }
         return highest;
     }
--- a/src/main/java/org/gullway/coordination/agents/OverdueCancellationPlanner.java
+++ b/src/main/java/org/gullway/coordination/agents/OverdueCancellationPlanner.java
@@ -51,7 +51,7 @@
         MachineRecord record = transaction.machine(placement.machine());
         if (record != null
                 && self.equals(record.controller())
-                && record.agentEpoch() == placement.agentEpoch()
+                && record.agentEpoch().equals(placement.agentEpoch())
                 && record.lifecycle() != MachineLifecycle.LOST
                 && transaction.canPutMachine(record.name())
                 && !isConfirmedEnded(record, AttemptId.of(job, placement))) {
--- a/src/main/java/org/gullway/coordination/agents/StartAuthorization.java
+++ b/src/main/java/org/gullway/coordination/agents/StartAuthorization.java
@@ -9,6 +9,7 @@
 import org.gullway.coordination.model.Placement;
 import org.gullway.coordination.model.StoreKeys;
 import org.gullway.protocol.AgentCommand;
+import org.gullway.protocol.Count;
 
 /**
  * Decides immediately before sending whether a task may be started. Its placement must be on record, this controller
@@ -30,10 +31,10 @@
         if (machine == null || !machine.hasBooted() || !self.equals(machine.controller())) {
             return Optional.of("the machine is not on record, has no agent yet, or is commanded by another controller");
         }
-        if (batch.agentEpoch() != machine.agentEpoch()) {
+        if (!batch.agentEpoch().equals(machine.agentEpoch())) {
             return Optional.of("the batch's agent epoch differs from the one on record: " + machine.agentEpoch());
         }
-        if (batch.fencingToken() != clusterState.fencingToken()) {
+        if (!batch.fencingToken().equals(clusterState.fencingToken())) {
             return Optional.of(
                     "the batch's fencing token differs from the current one: " + clusterState.fencingToken());
         }
@@ -54,12 +55,12 @@
         Placement placement = job.placementOf(start.task().index(), start.attempt());
         return placement != null
                 && placement.machine().equals(batch.machine())
-                && placement.agentEpoch() == batch.agentEpoch()
+                && placement.agentEpoch().equals(batch.agentEpoch())
                 && !placement.stopping();
     }
 
     /** Returns the current revision of the record of the command's job. */
-    public long revision(AgentCommand command) {
+    public Count revision(AgentCommand command) {
         return clusterState.version(StoreKeys.job(command.task().job()));
     }
 }
--- a/src/main/java/org/gullway/coordination/cancellation/DirectStops.java
+++ b/src/main/java/org/gullway/coordination/cancellation/DirectStops.java
@@ -14,6 +14,7 @@
 import org.gullway.coordination.model.ClusterState;
 import org.gullway.coordination.model.MachineRecord;
 import org.gullway.protocol.AgentCommand;
+import org.gullway.protocol.Count;
 import org.gullway.protocol.Heartbeat;
 import org.gullway.protocol.TaskStatus;
 
@@ -103,8 +104,8 @@
         }
     }
 
-    private static boolean isGone(RemainingAttempt attempt, long agentEpoch, Set<AttemptId> live) {
-        return agentEpoch > attempt.agentEpoch()
-                || (agentEpoch == attempt.agentEpoch() && !live.contains(attempt.id()));
+    private static boolean isGone(RemainingAttempt attempt, Count agentEpoch, Set<AttemptId> live) {
+        int byEpoch = agentEpoch.compareTo(attempt.agentEpoch());
+        return byEpoch > 0 || (byEpoch == 0 && !live.contains(attempt.id()));
     }
 }
--- a/src/main/java/org/gullway/coordination/cancellation/KnownCancellations.java
+++ b/src/main/java/org/gullway/coordination/cancellation/KnownCancellations.java
@@ -103,7 +103,7 @@
      */
     private void addIfInCurrentEpoch(List<RemainingAttempt> remaining, RemainingAttempt attempt) {
         MachineRecord machine = clusterState.machine(attempt.machine());
-        if (machine != null && machine.agentEpoch() == attempt.agentEpoch()) {
+        if (machine != null && machine.agentEpoch().equals(attempt.agentEpoch())) {
             remaining.add(attempt);
         }
     }
--- a/src/main/java/org/gullway/coordination/cancellation/LeaseRenewalPolicy.java
+++ b/src/main/java/org/gullway/coordination/cancellation/LeaseRenewalPolicy.java
@@ -108,9 +108,9 @@
     }
 
     private boolean isSafeToRenew(MachineRecord machine, Heartbeat heartbeat) {
-        return machine.agentEpoch() == heartbeat.agentEpoch()
+        return machine.agentEpoch().equals(heartbeat.agentEpoch())
                 && machine.lifecycle() != MachineRecord.MachineLifecycle.LOST
-                && heartbeat.fencingToken() <= clusterState.fencingToken()
+                && clusterState.fencingToken().isAtLeast(heartbeat.fencingToken())
                 && !cancellationEnforcer.mayStillStartCancelledTask(machine, heartbeat);
     }
 
--- a/src/main/java/org/gullway/coordination/command/CommandBatch.java
+++ b/src/main/java/org/gullway/coordination/command/CommandBatch.java
@@ -3,6 +3,7 @@
 import java.time.Instant;
 import java.util.List;
 import org.gullway.protocol.AgentCommand;
+import org.gullway.protocol.Count;
 
 /**
  * Commands that are sent to one agent in one request.
@@ -15,8 +16,8 @@
 public record CommandBatch(
         String machine,
         String address,
-        long fencingToken,
-        long agentEpoch,
+        Count fencingToken,
+        Count agentEpoch,
         List<AgentCommand> commands,
         Instant sentAt) {
     /** Returns whether any of the commands starts an attempt. */
--- a/src/main/java/org/gullway/coordination/failover/Reconciliation.java
+++ b/src/main/java/org/gullway/coordination/failover/Reconciliation.java
@@ -103,7 +103,7 @@
             MachineRecord machine = clusterState.machine(placement.machine());
             // A machine's record is removed only after the cloud provider has confirmed that the machine no longer
             // exists; its attempts have then ended. Attempts of an earlier agent epoch have ended as well.
-            if (machine == null || machine.agentEpoch() > placement.agentEpoch()) {
+            if (machine == null || machine.agentEpoch().isGreaterThan(placement.agentEpoch())) {
                 lost.put(placement, JobRecord.AttemptOutcome.STOPPED);
             }
         }
--- a/src/main/java/org/gullway/coordination/failover/ShardAssignment.java
+++ b/src/main/java/org/gullway/coordination/failover/ShardAssignment.java
@@ -7,6 +7,7 @@
 import java.util.Optional;
 import java.util.TreeMap;
 import org.gullway.coordination.model.ClusterState;
+import org.gullway.coordination.model.FencingToken;
 import org.gullway.coordination.model.MachineRecord;
 import org.gullway.coordination.model.MachineShard;
 import org.gullway.coordination.model.StoreKeys;
@@ -90,10 +91,12 @@
 
     private MachineShard createShard(String member) {
         // The fencing token is first written together with the first shard of the cluster.
-        long fencingToken =
-                transaction.fencingToken() == 0 ? transaction.nextFencingToken() : transaction.fencingToken();
+        FencingToken fencingToken = transaction.fencingToken();
+        if (fencingToken.equals(FencingToken.NONE)) {
+            fencingToken = transaction.nextFencingToken();
+        }
         String id = idPrefix + "-" + ++createdShards;
         openShards.get(member).add(id);
-        return new MachineShard(id, clusterState.members().get(member), fencingToken, List.of());
+        return new MachineShard(id, clusterState.members().get(member), fencingToken.value(), List.of());
     }
 }
--- a/src/main/java/org/gullway/coordination/failover/ShardFailover.java
+++ b/src/main/java/org/gullway/coordination/failover/ShardFailover.java
@@ -6,6 +6,7 @@
 import java.util.Set;
 import java.util.function.Predicate;
 import org.gullway.coordination.model.ClusterState;
+import org.gullway.coordination.model.FencingToken;
 import org.gullway.coordination.model.Incarnation;
 import org.gullway.coordination.model.MachineRecord;
 import org.gullway.coordination.model.MachineShard;
@@ -93,7 +94,7 @@
         return successor.isPresent() && self.node().equals(successor.get());
     }
 
-    private void claim(Transaction transaction, MachineShard shard, long fencingToken) {
+    private void claim(Transaction transaction, MachineShard shard, FencingToken fencingToken) {
         transaction.putShard(transaction.shard(shard.id()).claimedBy(self, fencingToken));
     }
 
@@ -103,7 +104,7 @@
      * shards. The lost controller's member key becomes a condition of the transaction, which therefore fails if that
      * controller has rejoined meanwhile.
      */
-    private long fencingTokenAfterLoss(Transaction transaction, MachineShard shard) {
+    private FencingToken fencingTokenAfterLoss(Transaction transaction, MachineShard shard) {
         transaction.requireUnchanged(StoreKeys.member(shard.controller().node()));
         if (!clusterState.isFencingTokenNewerThanLastLoss()) {
             return transaction.nextFencingToken();
--- a/src/main/java/org/gullway/coordination/membership/Membership.java
+++ b/src/main/java/org/gullway/coordination/membership/Membership.java
@@ -21,7 +21,6 @@
 
     private final Incarnation self;
     private final Duration leaseDuration;
-    private long leaseId;
     private Instant validUntil = Instant.MIN;
 
     public Membership(Incarnation self, Duration leaseDuration) {
@@ -39,18 +38,7 @@
         return leaseDuration;
     }
 
-    /** Id of the current or last lease in the state store; 0 before the first. */
-    public long leaseId() {
-        return leaseId;
-    }
-
-    /** Records the start of a membership, on a lease that was requested at this moment. */
-    public void onJoined(long newLeaseId, Instant requestSentAt) {
-        leaseId = newLeaseId;
-        onRenewed(requestSentAt);
-    }
-
-    /** Records a renewal of the lease by a request that was sent at this moment. */
+    /** Records the grant or a renewal of the lease by a request that was sent at this moment. */
     public void onRenewed(Instant requestSentAt) {
         validUntil = requestSentAt
                 .plus(leaseDuration)
--- a/src/main/java/org/gullway/coordination/model/ChangeSet.java
+++ b/src/main/java/org/gullway/coordination/model/ChangeSet.java
@@ -4,6 +4,7 @@
 import java.util.LinkedHashSet;
 import java.util.Map;
 import java.util.Set;
+import org.gullway.protocol.Count;
 import org.gullway.protocol.JsonSize;
 import org.gullway.protocol.MessageLimits;
 
@@ -12,9 +13,9 @@
     /** The encoded transaction without its conditions and changes. */
     private static final int ENVELOPE_BYTES = "{\"guards\":[],\"then\":[]}".length();
     /** A condition without its key, including the separator. */
-    private static final int CONDITION_BYTES = ("{\"k\":,\"mark\":" + Long.MAX_VALUE + "},").length();
+    private static final int CONDITION_BYTES = ("{\"k\":,\"mark\":" + Count.MAX + "},").length();
     /** A change without its key and its value, including the separator. */
-    private static final int CHANGE_BYTES = ("{\"remove\":,\"v\":,\"tether\":" + Long.MAX_VALUE + "},").length();
+    private static final int CHANGE_BYTES = ("{\"remove\":,\"v\":,\"tether\":" + Count.MAX + "},").length();
     /** The state store allows keys of 200 bytes; quotes are added. */
     private static final int MAX_KEY_BYTES = 200 + "\"\"".length();
     /** A further change without its value: its key is in the change and in a condition, and there is one other condition. */
--- a/src/main/java/org/gullway/coordination/model/ClusterState.java
+++ b/src/main/java/org/gullway/coordination/model/ClusterState.java
@@ -5,6 +5,7 @@
 import java.util.Map;
 import java.util.Set;
 import java.util.TreeMap;
+import org.gullway.protocol.Count;
 
 /**
  * This controller's in-memory replica of the watched part of the state store: the records of all watched keys, the key
@@ -28,7 +29,7 @@
     private final MemberIndex members = new MemberIndex();
     private long shardAndMemberChangeCount;
     private Incarnation leader;
-    private long fencingToken;
+    private Count fencingToken = Count.ZERO;
     private Set<String> cordonedMachines = Set.of();
 
     /** Discards all records before a full read of the store; the set of cancelled jobs is kept. */
@@ -42,12 +43,12 @@
         members.clear();
         shardAndMemberChangeCount++;
         leader = null;
-        fencingToken = 0;
+        fencingToken = Count.ZERO;
         cordonedMachines = Set.of();
     }
 
     /** Stores a value at a version; returns false and changes nothing if the version is outdated. */
-    public boolean put(String key, StoreRecord value, long version) {
+    public boolean put(String key, StoreRecord value, Count version) {
         if (!versions.acceptPut(key, version)) {
             return false;
         }
@@ -67,7 +68,7 @@
         return true;
     }
 
-    private void putIncarnation(String key, Incarnation incarnation, long version) {
+    private void putIncarnation(String key, Incarnation incarnation, Count version) {
         if (key.equals(StoreKeys.LEADER)) {
             leader = incarnation;
             return;
@@ -77,7 +78,7 @@
     }
 
     /** Removes a key as of a revision; returns false and changes nothing if the removal is outdated. */
-    public boolean remove(String key, long revision) {
+    public boolean remove(String key, Count revision) {
         if (!versions.acceptRemoval(key, revision)) {
             return false;
         }
@@ -99,7 +100,7 @@
     }
 
     /** Applies the changes of a transaction, committed at a revision, to the watched keys. */
-    public void apply(Map<String, StoreRecord> changes, long revision) {
+    public void apply(Map<String, StoreRecord> changes, Count revision) {
         changes.forEach((key, value) -> {
             if (value == null) {
                 remove(key, revision);
@@ -109,7 +110,7 @@
         });
     }
 
-    private void replaceShard(String id, MachineShard next, long version) {
+    private void replaceShard(String id, MachineShard next, Count version) {
         shardAndMemberChangeCount++;
         MachineShard previous = machineIndex.replace(id, next, version);
         if (previous != null) {
@@ -125,7 +126,7 @@
         if (current == null) {
             placementIndex.forgetImages(previous.name());
         }
-        if (current == null || current.agentEpoch() > previous.agentEpoch()) {
+        if (current == null || current.agentEpoch().isGreaterThan(previous.agentEpoch())) {
             for (AttemptId attempt : placementsOn(previous.name()).keySet()) {
                 uncheckedJobs.add(attempt.task().job());
             }
@@ -153,18 +154,18 @@
     }
 
     /** Records a full read as of this revision, and that a member may have been lost unseen before it. */
-    public void onFullRead(long revision) {
+    public void onFullRead(Count revision) {
         members.recordLoss(revision);
         advanceTo(revision);
     }
 
     /** Whether the fencing token was raised after the last loss of a member. */
     public boolean isFencingTokenNewerThanLastLoss() {
-        return version(StoreKeys.FENCING_TOKEN) > members.lastLossRevision();
+        return version(StoreKeys.FENCING_TOKEN).isGreaterThan(members.lastLossRevision());
     }
 
     /** Version of the key; 0 if it does not exist. */
-    public long version(String key) {
+    public Count version(String key) {
         return versions.versionOf(key);
     }
 
@@ -224,7 +225,7 @@
     }
 
     /** Version of the shard record that contains the machine; 0 if there is none. */
-    public long machineVersion(String machine) {
+    public Count machineVersion(String machine) {
         return machineIndex.versionOf(machine);
     }
 
@@ -254,7 +255,7 @@
     }
 
     /** The current fencing token; 0 before the first one is written. */
-    public long fencingToken() {
+    public Count fencingToken() {
         return fencingToken;
     }
 
@@ -284,12 +285,12 @@
     }
 
     /** Records that the watch has delivered every change up to this revision. */
-    public void advanceTo(long revision) {
+    public void advanceTo(Count revision) {
         versions.advanceTo(revision);
     }
 
     /** The revision up to which the watch has delivered every change. */
-    public long watchedRevision() {
+    public Count watchedRevision() {
         return versions.watchedRevision();
     }
 }
--- a/src/main/java/org/gullway/coordination/model/JobRecord.java
+++ b/src/main/java/org/gullway/coordination/model/JobRecord.java
@@ -9,6 +9,7 @@
 import java.util.Map;
 import java.util.function.Predicate;
 import java.util.function.UnaryOperator;
+import org.gullway.protocol.Count;
 import org.gullway.protocol.JobRequest;
 import org.gullway.protocol.JobRequest.Shape;
 import org.gullway.protocol.JobState;
@@ -32,7 +33,7 @@
         Instant submittedAt,
         Instant cancelledAt,
         IntegerRanges completedTasks,
-        long attemptCount,
+        Count attemptCount,
         int consecutiveErrors,
         List<Placement> livePlacements)
         implements StoreRecord {
@@ -71,7 +72,7 @@
 
     /** The first record of an accepted job, without placements. */
     public static JobRecord accepted(JobRequest request, String owner, Instant submittedAt) {
-        return new JobRecord(request, owner, submittedAt, null, IntegerRanges.EMPTY, 0, 0, List.of());
+        return new JobRecord(request, owner, submittedAt, null, IntegerRanges.EMPTY, Count.ZERO, 0, List.of());
     }
 
     /** Whether this job is reserved, so that the leader places it. */
@@ -135,9 +136,9 @@
     }
 
     /** The live placement with this task and attempt number, or null. */
-    public Placement placementOf(int task, long attempt) {
+    public Placement placementOf(int task, Count attempt) {
         for (Placement placement : livePlacements) {
-            if (placement.task() == task && placement.attempt() == attempt) {
+            if (placement.task() == task && placement.attempt().equals(attempt)) {
                 return placement;
             }
         }
@@ -158,7 +159,7 @@
         livePlacements.forEach(placement -> placedTasks.set(placement.task()));
         List<Placement> next = new ArrayList<>(livePlacements.size() + machines.size());
         next.addAll(livePlacements);
-        long attempt = attemptCount;
+        Count attempt = attemptCount;
         int task = -1;
         for (MachineRecord machine : machines) {
             task = nextWaitingTask(task + 1, placedTasks);
@@ -166,7 +167,7 @@
                 throw new IllegalStateException("cannot place " + machines.size() + " tasks of job " + request.id()
                         + ": only " + waitingTasks() + " are waiting");
             }
-            attempt = isGang() && attempt > attemptCount ? attempt : attempt + 1;
+            attempt = isGang() && attempt.isGreaterThan(attemptCount) ? attempt : attempt.next();
             next.add(new Placement(task, attempt, machine.name(), machine.agentEpoch(), false, wallClockTime));
         }
         return with(completedTasks, attempt, consecutiveErrors, List.copyOf(next));
@@ -212,7 +213,7 @@
         return with(completedTasks, attemptCount, consecutiveErrors, next);
     }
 
-    private JobRecord with(IntegerRanges completed, long attempts, int errors, List<Placement> live) {
+    private JobRecord with(IntegerRanges completed, Count attempts, int errors, List<Placement> live) {
         return new JobRecord(request, owner, submittedAt, cancelledAt, completed, attempts, errors, live);
     }
 
--- a/src/main/java/org/gullway/coordination/model/JobRecordSize.java
+++ b/src/main/java/org/gullway/coordination/model/JobRecordSize.java
@@ -3,6 +3,7 @@
 import java.time.Duration;
 import java.time.Instant;
 import java.util.List;
+import org.gullway.protocol.Count;
 import org.gullway.protocol.JobRequest;
 import org.gullway.protocol.JsonSize;
 import org.gullway.protocol.MessageFields;
@@ -15,7 +16,7 @@
 final class JobRecordSize {
     /** All fields except the request, the owner, the placements and the completed tasks. */
     private static final String OTHER_FIELDS = "{\"request\":,\"owner\":,\"cancelled\":" + Long.MAX_VALUE
-            + ",\"submitted\":" + Long.MAX_VALUE + ",\"attempts\":" + Long.MAX_VALUE + ",\"errors\":"
+            + ",\"submitted\":" + Long.MAX_VALUE + ",\"attempts\":" + Count.MAX + ",\"errors\":"
             + Integer.MAX_VALUE + ",\"done\":[],\"live\":[],\"stopping\":[]}";
     /** Room for the name of another owner. */
     private static final int MIN_OWNER_BYTES = 64;
@@ -26,7 +27,8 @@
     private static final int MAX_RANGE_BYTES = 2 * (JsonSize.ofInteger(JobRequest.MAX_TASKS) + 1);
     /** A placement with the longest numbers, without its machine and agent epoch. */
     private static final int MAX_PLACEMENT_BYTES_WITHOUT_MACHINE = PLACEMENT_PUNCTUATION_BYTES
-            + 2 * JsonSize.ofInteger(Long.MAX_VALUE)
+            + JsonSize.MAX_COUNT_BYTES
+            + JsonSize.ofInteger(Long.MAX_VALUE)
             + 2 * JsonSize.ofInteger(JobRequest.MAX_TASKS);
     /** Any text of a request, or the name of an owner, with a separator. */
     private static final int MAX_TEXT_BYTES = JsonSize.maxOfText(MessageFields.MAX_TEXT_CHARACTERS) + 1;
@@ -53,10 +55,10 @@
     private static int maxBytes(JobRecord job, Placement placement) {
         return PLACEMENT_PUNCTUATION_BYTES
                 + JsonSize.ofText(placement.machine())
-                + JsonSize.ofInteger(placement.agentEpoch())
+                + JsonSize.ofCount(placement.agentEpoch())
                 + JsonSize.ofInteger(millisSinceSubmission(job, placement.placedAt()))
                 + 2 * JsonSize.ofInteger(placement.task())
-                + JsonSize.ofInteger(placement.attempt());
+                + JsonSize.ofCount(placement.attempt());
     }
 
     private static long millisSinceSubmission(JobRecord job, Instant placedAt) {
@@ -75,7 +77,7 @@
                 + longest.agentEpochBytes()
                 + JsonSize.ofInteger(millisSinceSubmission(job, placedAt))
                 + 2 * JsonSize.ofInteger(job.request().tasks())
-                + JsonSize.ofInteger(job.attemptCount() + job.request().tasks());
+                + JsonSize.ofCount(job.attemptCount().plusOrMax(job.request().tasks()));
     }
 
     /**
--- a/src/main/java/org/gullway/coordination/model/KeyVersions.java
+++ b/src/main/java/org/gullway/coordination/model/KeyVersions.java
@@ -2,30 +2,31 @@
 
 import java.util.HashMap;
 import java.util.Map;
+import org.gullway.protocol.Count;
 
 /**
  * The latest known version of each key, and the removals that the watch has not delivered yet. Changes arrive from the
  * watch and from the outcomes of this controller's own transactions, in any order; outdated ones are rejected.
  */
 final class KeyVersions {
-    private final Map<String, Long> versions = new HashMap<>();
+    private final Map<String, Count> versions = new HashMap<>();
     /**
      * Revisions of the removals that the watch has not delivered yet. An earlier change of such a key, which the watch
      * may still deliver, must not restore the key.
      */
-    private final Map<String, Long> removalTombstones = new HashMap<>();
+    private final Map<String, Count> removalTombstones = new HashMap<>();
 
-    private long watchedRevision;
+    private Count watchedRevision = Count.ZERO;
 
     void clear() {
         versions.clear();
         removalTombstones.clear();
-        watchedRevision = 0;
+        watchedRevision = Count.ZERO;
     }
 
     /** The known version of a key; 0 if it does not exist. */
-    long versionOf(String key) {
-        return versions.getOrDefault(key, 0L);
+    Count versionOf(String key) {
+        return versions.getOrDefault(key, Count.ZERO);
     }
 
     /**
@@ -34,10 +35,10 @@
      * that arrives after the watch has delivered another controller's removal of the key: it would restore the key
      * permanently.
      */
-    boolean acceptPut(String key, long version) {
-        if (version <= watchedRevision
-                || versionOf(key) >= version
-                || removalTombstones.getOrDefault(key, 0L) >= version) {
+    boolean acceptPut(String key, Count version) {
+        if (watchedRevision.isAtLeast(version)
+                || versionOf(key).isAtLeast(version)
+                || removalTombstones.getOrDefault(key, Count.ZERO).isAtLeast(version)) {
             return false;
         }
         versions.put(key, version);
@@ -45,26 +46,26 @@
     }
 
     /** Accepts the removal of a key at a revision, unless the known version is the same or newer. */
-    boolean acceptRemoval(String key, long revision) {
-        if (versionOf(key) >= revision) {
+    boolean acceptRemoval(String key, Count revision) {
+        if (versionOf(key).isAtLeast(revision)) {
             return false;
         }
         versions.remove(key);
-        if (revision > watchedRevision) {
+        if (revision.isGreaterThan(watchedRevision)) {
             removalTombstones.put(key, revision);
         }
         return true;
     }
 
     /** Records that the watch has delivered every change up to this revision. */
-    void advanceTo(long revision) {
-        if (revision > watchedRevision) {
+    void advanceTo(Count revision) {
+        if (revision.isGreaterThan(watchedRevision)) {
             watchedRevision = revision;
-            removalTombstones.values().removeIf(removedAt -> removedAt <= revision);
+            removalTombstones.values().removeIf(revision::isAtLeast);
         }
     }
 
-    long watchedRevision() {
+    Count watchedRevision() {
         return watchedRevision;
     }
 }
--- a/src/main/java/org/gullway/coordination/model/LongestMachineFields.java
+++ b/src/main/java/org/gullway/coordination/model/LongestMachineFields.java
@@ -9,7 +9,7 @@
     /** These sizes, or those of the machine's fields if they are larger. */
     LongestMachineFields with(MachineRecord machine) {
         int name = Math.max(nameBytes, JsonSize.ofText(machine.name()));
-        int agentEpoch = Math.max(agentEpochBytes, JsonSize.ofInteger(machine.agentEpoch()));
+        int agentEpoch = Math.max(agentEpochBytes, JsonSize.ofCount(machine.agentEpoch()));
         return name == nameBytes && agentEpoch == agentEpochBytes ? this : new LongestMachineFields(name, agentEpoch);
     }
 }
--- a/src/main/java/org/gullway/coordination/model/MachineIndex.java
+++ b/src/main/java/org/gullway/coordination/model/MachineIndex.java
@@ -6,12 +6,13 @@
 import java.util.Map;
 import java.util.Set;
 import java.util.TreeMap;
+import org.gullway.protocol.Count;
 
 /** Indexes the shards by id and their machines by name. */
 final class MachineIndex {
     private final Map<String, MachineShard> shards = new TreeMap<>();
     private final Map<String, MachineRecord> machines = new LinkedHashMap<>();
-    private final Map<String, Long> machineVersions = new HashMap<>();
+    private final Map<String, Count> machineVersions = new HashMap<>();
     private final Map<String, String> shardOf = new HashMap<>();
     private final Set<String> changedMachines;
     private LongestMachineFields longestFields = LongestMachineFields.NONE;
@@ -36,7 +37,7 @@
      * @param next the shard's new record, or null if it is removed
      * @return the shard's previous record, or null
      */
-    MachineShard replace(String id, MachineShard next, long version) {
+    MachineShard replace(String id, MachineShard next, Count version) {
         MachineShard previous = next == null ? shards.remove(id) : shards.put(id, next);
         if (previous != null) {
             removeMachines(id, previous);
@@ -59,7 +60,7 @@
         }
     }
 
-    private void addMachines(String id, MachineShard shard, long version) {
+    private void addMachines(String id, MachineShard shard, Count version) {
         for (MachineRecord machine : shard.machines()) {
             String name = machine.name();
             machines.put(name, machine);
@@ -94,7 +95,7 @@
         return shardOf.get(machine);
     }
 
-    long versionOf(String machine) {
-        return machineVersions.getOrDefault(machine, 0L);
+    Count versionOf(String machine) {
+        return machineVersions.getOrDefault(machine, Count.ZERO);
     }
 }
--- a/src/main/java/org/gullway/coordination/model/MachineRecord.java
+++ b/src/main/java/org/gullway/coordination/model/MachineRecord.java
@@ -1,6 +1,7 @@
 package org.gullway.coordination.model;
 
 import java.time.Instant;
+import org.gullway.protocol.Count;
 import org.gullway.protocol.JsonSize;
 import org.gullway.protocol.MessageFields;
 
@@ -22,8 +23,8 @@
         String zone,
         boolean spot,
         Incarnation controller,
-        long agentEpoch,
-        long fencingToken,
+        Count agentEpoch,
+        Count fencingToken,
         MachineLifecycle lifecycle,
         Instant provisionedAt) {
 
@@ -50,19 +51,28 @@
             boolean spot,
             Instant provisionedAt,
             Incarnation controller,
-            long fencingToken) {
+            Count fencingToken) {
         return new MachineRecord(
-                name, null, type, zone, spot, controller, 0, fencingToken, MachineLifecycle.ACTIVE, provisionedAt);
+                name,
+                null,
+                type,
+                zone,
+                spot,
+                controller,
+                Count.ZERO,
+                fencingToken,
+                MachineLifecycle.ACTIVE,
+                provisionedAt);
     }
 
     /** Upper bound for the encoded size of any machine in its shard. */
     static final int MAX_ENCODED_BYTES = OTHER_FIELDS.length()
-            + JsonSize.ofInteger(Long.MAX_VALUE)
+            + JsonSize.MAX_COUNT_BYTES
             + 4 * JsonSize.maxOfText(MessageFields.MAX_TEXT_CHARACTERS);
 
     /** Upper bound for the encoded size of the machine in its shard. */
     int maxEncodedBytes() {
-        int bytes = OTHER_FIELDS.length() + JsonSize.ofInteger(agentEpoch);
+        int bytes = OTHER_FIELDS.length() + JsonSize.ofCount(agentEpoch);
         bytes += JsonSize.ofText(name) + JsonSize.ofText(type) + JsonSize.ofText(zone);
         return bytes + (address == null ? 0 : JsonSize.ofText(address));
     }
@@ -75,7 +85,7 @@
 
     /** Whether the machine's agent has sent its first heartbeat. */
     public boolean hasBooted() {
-        return agentEpoch > 0;
+        return !agentEpoch.isZero();
     }
 
     /** Whether tasks may be placed on the machine. */
@@ -84,13 +94,13 @@
     }
 
     /** This machine, commanded by another controller. */
-    public MachineRecord claimedBy(Incarnation newController, long newFencingToken) {
+    public MachineRecord claimedBy(Incarnation newController, Count newFencingToken) {
         return new MachineRecord(
                 name, address, type, zone, spot, newController, agentEpoch, newFencingToken, lifecycle, provisionedAt);
     }
 
     /** This machine in a new agent epoch; no attempt of an earlier agent epoch is running any more. */
-    public MachineRecord withAgentEpoch(long newAgentEpoch, String newAddress) {
+    public MachineRecord withAgentEpoch(Count newAgentEpoch, String newAddress) {
         return new MachineRecord(
                 name, newAddress, type, zone, spot, controller, newAgentEpoch, fencingToken, lifecycle, provisionedAt);
     }
--- a/src/main/java/org/gullway/coordination/model/MachineShard.java
+++ b/src/main/java/org/gullway/coordination/model/MachineShard.java
@@ -2,6 +2,7 @@
 
 import java.util.ArrayList;
 import java.util.List;
+import org.gullway.protocol.Count;
 
 /**
  * A group of machines that one controller commands. A shard is stored as one record, so that a failover of many
@@ -11,7 +12,7 @@
  * @param fencingToken token that the controller's commands carry; an agent that has confirmed it refuses commands of
  *     earlier controllers
  */
-public record MachineShard(String id, Incarnation controller, long fencingToken, List<MachineRecord> machines)
+public record MachineShard(String id, Incarnation controller, Count fencingToken, List<MachineRecord> machines)
         implements StoreRecord {
     /**
      * Small enough that rewriting a shard for one machine is cheap; large enough that the failover of one of three
@@ -65,13 +66,13 @@
     }
 
     /** This shard and its machines under another controller; the new token fences off former controllers. */
-    public MachineShard claimedBy(Incarnation newController, long newFencingToken) {
+    public MachineShard claimedBy(Incarnation newController, FencingToken newFencingToken) {
         return new MachineShard(
                 id,
                 newController,
-                newFencingToken,
+                newFencingToken.value(),
                 machines.stream()
-                        .map(machine -> machine.claimedBy(newController, newFencingToken))
+                        .map(machine -> machine.claimedBy(newController, newFencingToken.value()))
                         .toList());
     }
 }
--- a/src/main/java/org/gullway/coordination/model/Placement.java
+++ b/src/main/java/org/gullway/coordination/model/Placement.java
@@ -1,6 +1,7 @@
 package org.gullway.coordination.model;
 
 import java.time.Instant;
+import org.gullway.protocol.Count;
 
 /**
  * An attempt of a task that may be running on a machine. It is recorded before the start command is sent, and removed
@@ -10,14 +11,14 @@
  * @param stopping whether the attempt is to be stopped
  * @param placedAt wall-clock time of the placement
  */
-public record Placement(int task, long attempt, String machine, long agentEpoch, boolean stopping, Instant placedAt) {
+public record Placement(int task, Count attempt, String machine, Count agentEpoch, boolean stopping, Instant placedAt) {
     @Override
     public boolean equals(Object other) {
         return this == other
                 || (other instanceof Placement placement
                         && task == placement.task
-                        && attempt == placement.attempt
-                        && agentEpoch == placement.agentEpoch
+                        && attempt.equals(placement.attempt)
+                        && agentEpoch.equals(placement.agentEpoch)
                         && stopping == placement.stopping
                         && machine.equals(placement.machine)
                         && placedAt.equals(placement.placedAt));
@@ -25,7 +26,7 @@
 
     @Override
     public int hashCode() {
-        return 31 * (31 * machine.hashCode() + task) + Long.hashCode(attempt);
+        return 31 * (31 * machine.hashCode() + task) + attempt.hashCode();
     }
 
     /** This placement, marked as stopping. */
--- a/src/main/java/org/gullway/coordination/model/Transaction.java
+++ b/src/main/java/org/gullway/coordination/model/Transaction.java
@@ -153,13 +153,13 @@
     }
 
     /** The fencing token as this transaction leaves it. */
-    public long fencingToken() {
+    public FencingToken fencingToken() {
         StoreRecord planned = changeSet.valueOf(StoreKeys.FENCING_TOKEN);
-        return planned == null ? clusterState.fencingToken() : ((FencingToken) planned).value();
+        return planned == null ? new FencingToken(clusterState.fencingToken()) : (FencingToken) planned;
     }
 
     /** Raises the fencing token, at most once per transaction, and returns the raised token. */
-    public long nextFencingToken() {
+    public FencingToken nextFencingToken() {
         if (!changeSet.isChanged(StoreKeys.FENCING_TOKEN)) {
             put(StoreKeys.FENCING_TOKEN, new FencingToken(clusterState.fencingToken()).next());
         }
@@ -260,7 +260,7 @@
                     job.request().id(),
                     job.request().jobClass(),
                     machines.size(),
-                    job.attemptCount() + 1,
+                    job.attemptCount().next(),
                     machines.stream().map(MachineRecord::name).toList());
         }
         changeSet.reserveBytes(-machines.size() * recordCapacity.maxPlacementBytes(job));
--- a/src/main/java/org/gullway/coordination/scaling/FleetAutoscaler.java
+++ b/src/main/java/org/gullway/coordination/scaling/FleetAutoscaler.java
@@ -118,7 +118,7 @@
      * placement is removed together with the machine.
      */
     private boolean isKnownEmpty(MachineRecord machine) {
-        return clusterState.watchedRevision() >= clusterState.machineVersion(machine.name())
+        return clusterState.watchedRevision().isAtLeast(clusterState.machineVersion(machine.name()))
                 && clusterState.usageOn(machine.name()).tasks == 0;
     }
 }
--- a/src/main/java/org/gullway/coordination/scheduling/PeerOffers.java
+++ b/src/main/java/org/gullway/coordination/scheduling/PeerOffers.java
@@ -73,7 +73,7 @@
             MachineRecord machine = clusterState.machine(offer.machine());
             if (machine != null
                     && machine.isSchedulable()
-                    && machine.agentEpoch() == offer.agentEpoch()
+                    && machine.agentEpoch().equals(offer.agentEpoch())
                     && now.isBefore(received.validUntil())) {
                 offerByMachine.put(machine, offer);
             }
--- a/src/main/java/org/gullway/observability/ClusterSummary.java
+++ b/src/main/java/org/gullway/observability/ClusterSummary.java
@@ -1,13 +1,14 @@
 package org.gullway.observability;
 
 import org.gullway.coordination.model.ClusterState;
+import org.gullway.coordination.model.FencingToken;
 import org.gullway.coordination.model.JobRecord;
 import org.gullway.coordination.model.MachineRecord;
 
 /** Key figures of the cluster for the metrics log line, taken from one controller's copy of the cluster state. */
 public record ClusterSummary(
         Role role,
-        long fencingToken,
+        FencingToken fencingToken,
         int jobs,
         int waitingTasks,
         int machines,
@@ -43,7 +44,7 @@
         }
         return new ClusterSummary(
                 role,
-                clusterState.fencingToken(),
+                new FencingToken(clusterState.fencingToken()),
                 clusterState.jobs().size(),
                 waitingTasks,
                 clusterState.machines().size(),
@@ -53,7 +54,7 @@
 
     String toLogPairs() {
         return "role=" + role
-                + " fencing_token=" + fencingToken
+                + " fencing_token=" + fencingToken.value()
                 + " jobs=" + jobs
                 + " waiting_tasks=" + waitingTasks
                 + " machines=" + machines
--- a/src/main/java/org/gullway/observability/LeadershipLog.java
+++ b/src/main/java/org/gullway/observability/LeadershipLog.java
@@ -1,7 +1,10 @@
 package org.gullway.observability;
 
 import java.util.Objects;
+import org.gullway.coordination.model.ClusterState;
+import org.gullway.coordination.model.FencingToken;
 import org.gullway.coordination.model.Incarnation;
+import org.gullway.coordination.model.StoreKeys;
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
 
@@ -10,34 +13,34 @@
     private static final Logger LOG = LoggerFactory.getLogger(LeadershipLog.class);
 
     private Incarnation previousLeader;
-    private long previousFencingToken = -1;
+    private FencingToken previousFencingToken = FencingToken.NONE;
 
-    /**
-     * Compares the leader and the fencing token with those of the previous call and logs what has changed.
-     *
-     * @param leader the leader on record, or null if there is none
-     * @param revision the revision of the state store at which the leader was recorded; 0 if there is no leader
-     */
-    public void observe(Incarnation leader, long fencingToken, long revision) {
-        if (!Objects.equals(leader, previousLeader)) {
-            logLeader(leader, fencingToken, revision);
-        } else if (fencingToken != previousFencingToken) {
-            LOG.debug("new fencing token on record fencing_token={}", fencingToken);
+    /** Compares the leader and the fencing token with those of the previous call and logs what has changed. */
+    public void observe(ClusterState clusterState) {
+        FencingToken fencingToken = new FencingToken(clusterState.fencingToken());
+        if (!Objects.equals(clusterState.leader(), previousLeader)) {
+            logLeader(clusterState);
+        } else if (!fencingToken.equals(previousFencingToken)) {
+            LOG.debug("new fencing token on record fencing_token={}", fencingToken.value());
         }
-        previousLeader = leader;
+        previousLeader = clusterState.leader();
         previousFencingToken = fencingToken;
     }
 
-    private static void logLeader(Incarnation leader, long fencingToken, long revision) {
+    private static void logLeader(ClusterState clusterState) {
+        Incarnation leader = clusterState.leader();
         if (leader == null) {
-            LOG.info("no leader on record fencing_token={} revision={}", fencingToken, revision);
+            LOG.info(
+                    "no leader on record fencing_token={} revision={}",
+                    clusterState.fencingToken(),
+                    clusterState.version(StoreKeys.LEADER));
         } else {
             LOG.info(
                     "leader changed controller={} incarnation={} fencing_token={} revision={}",
                     leader.node(),
                     leader.number(),
-                    fencingToken,
-                    revision);
+                    clusterState.fencingToken(),
+                    clusterState.version(StoreKeys.LEADER));
         }
     }
 }
--- a/src/main/java/org/gullway/protocol/AgentCommand.java
+++ b/src/main/java/org/gullway/protocol/AgentCommand.java
@@ -10,9 +10,9 @@
  *
  * @param grace time that a stopped attempt gets to save a checkpoint; zero for commands other than {@code STOP}
  */
-public record AgentCommand(Kind kind, TaskId task, long attempt, Duration grace) {
+public record AgentCommand(Kind kind, TaskId task, Count attempt, Duration grace) {
     private static final int MAX_HEADER_BYTES =
-            ("{\"baton\":" + Long.MAX_VALUE + ",\"flight\":" + Long.MAX_VALUE + ",\"calls\":[]}").length();
+            ("{\"baton\":" + Count.MAX + ",\"flight\":" + Count.MAX + ",\"calls\":[]}").length();
 
     /** Starts the attempt, stops it, or removes an ended attempt from the heartbeats that follow. */
     public enum Kind {
@@ -21,15 +21,15 @@
         FORGET
     }
 
-    public static AgentCommand start(TaskId task, long attempt) {
+    public static AgentCommand start(TaskId task, Count attempt) {
         return new AgentCommand(Kind.START, task, attempt, Duration.ZERO);
     }
 
-    public static AgentCommand stop(TaskId task, long attempt, Duration grace) {
+    public static AgentCommand stop(TaskId task, Count attempt, Duration grace) {
         return new AgentCommand(Kind.STOP, task, attempt, grace);
     }
 
-    public static AgentCommand forget(TaskId task, long attempt) {
+    public static AgentCommand forget(TaskId task, Count attempt) {
         return new AgentCommand(Kind.FORGET, task, attempt, Duration.ZERO);
     }
 
@@ -54,7 +54,7 @@
     /** Returns the size of this command in a JSON list, including the separator. */
     private int jsonBytes() {
         int bytes = ("{\"call\":\"" + wireName() + "\",\"leg\":\"\",\"launch\":},").length();
-        bytes += task.job().length() + 1 + JsonSize.ofInteger(task.index()) + JsonSize.ofInteger(attempt);
+        bytes += task.job().length() + 1 + JsonSize.ofInteger(task.index()) + JsonSize.ofCount(attempt);
         if (kind == Kind.STOP) {
             bytes += ",\"slack_s\":".length()
                     + Double.toString(JobRequest.toSeconds(grace)).length();
@@ -73,23 +73,26 @@
     private void appendTo(ArrayNode list) {
         ObjectNode node = list.addObject();
         node.put("call", wireName());
-        node.put("leg", task.toString()).put("launch", attempt);
+        node.put("leg", task.toString()).set("launch", attempt.toNode());
         if (kind == Kind.STOP) {
             node.put("slack_s", JobRequest.toSeconds(grace));
         }
     }
 
     /** Encodes the response to a heartbeat. */
-    public static byte[] encodeResponse(long fencingToken, List<AgentCommand> commands) {
-        ObjectNode node = Cbor.map().put("baton", fencingToken);
+    public static byte[] encodeResponse(Count fencingToken, List<AgentCommand> commands) {
+        ObjectNode node = Cbor.map();
+        node.set("baton", fencingToken.toNode());
         ArrayNode list = node.putArray("calls");
         commands.forEach(command -> command.appendTo(list));
         return Cbor.encode(node);
     }
 
     /** Encodes commands that the controller sends to the agent in a request of its own, not in a heartbeat response. */
-    public static byte[] encodeDirect(long fencingToken, long agentEpoch, List<AgentCommand> commands) {
-        ObjectNode node = Cbor.map().put("baton", fencingToken).put("flight", agentEpoch);
+    public static byte[] encodeDirect(Count fencingToken, Count agentEpoch, List<AgentCommand> commands) {
+        ObjectNode node = Cbor.map();
+        node.set("baton", fencingToken.toNode());
+        node.set("flight", agentEpoch.toNode());
         ArrayNode list = node.putArray("calls");
         commands.forEach(command -> command.appendTo(list));
         return Cbor.encode(node);
--- a/src/main/java/org/gullway/protocol/AttemptCompletion.java
+++ b/src/main/java/org/gullway/protocol/AttemptCompletion.java
@@ -12,7 +12,7 @@
  *
  * @param outcome how the attempt ended, as a code that {@code OutcomeCode} in the coordination layer maps to an outcome
  */
-public record AttemptCompletion(TaskId task, long attempt, byte outcome) {
+public record AttemptCompletion(TaskId task, Count attempt, byte outcome) {
     public static final int MAX_PER_MESSAGE = 500;
     private static final int VERSION = 1;
     private static final int EXPECTED_COMPLETION_BYTES = 32;
@@ -25,7 +25,7 @@
             for (AttemptCompletion completion : completions) {
                 out.writeUTF(completion.task.job());
                 out.writeInt(completion.task.index());
-                out.writeLong(completion.attempt);
+                PeerMessages.writeUnsignedLong(out, completion.attempt);
                 out.writeByte(completion.outcome);
             }
         });
@@ -46,7 +46,7 @@
         List<AttemptCompletion> completions = new ArrayList<>(count);
         for (int i = 0; i < count; i++) {
             TaskId task = new TaskId(PeerMessages.readText(in), in.readInt());
-            completions.add(new AttemptCompletion(task, in.readLong(), in.readByte()));
+            completions.add(new AttemptCompletion(task, PeerMessages.readUnsignedLong(in), in.readByte()));
         }
         return completions;
     }
--- a/src/main/java/org/gullway/protocol/Cbor.java
+++ b/src/main/java/org/gullway/protocol/Cbor.java
@@ -6,9 +6,11 @@
 import com.fasterxml.jackson.databind.node.JsonNodeFactory;
 import com.fasterxml.jackson.databind.node.ObjectNode;
 import com.fasterxml.jackson.dataformat.cbor.CBORFactory;
+import com.fasterxml.jackson.dataformat.cbor.CBORGenerator;
 import java.io.ByteArrayOutputStream;
 import java.io.IOException;
 import java.io.UncheckedIOException;
+import java.math.BigInteger;
 
 /** Encodes and decodes message bodies, which are CBOR maps with text keys. */
 public final class Cbor {
@@ -32,6 +34,19 @@
         return bytes.toByteArray();
     }
 
+    /**
+     * Writes a large integer. Jackson would write any {@code BigInteger} as a bignum, which is a tagged byte string; the
+     * messages of the protocol contain no binary data, so a {@link Count} is written as a plain integer.
+     */
+    static void writeInteger(BigInteger value, JsonGenerator generator) throws IOException {
+        boolean needsAllBits = value.signum() > 0 && value.bitLength() == Long.SIZE;
+        if (needsAllBits && generator instanceof CBORGenerator cborGenerator) {
+            cborGenerator.writeNumberUnsigned(value.longValue());
+        } else {
+            generator.writeNumber(value);
+        }
+    }
+
     /**
      * Returns a streaming parser for the body.
      *
--- a/src/main/java/org/gullway/protocol/Heartbeat.java
+++ b/src/main/java/org/gullway/protocol/Heartbeat.java
@@ -18,9 +18,9 @@
         String type,
         String zone,
         boolean spot,
-        long agentEpoch,
-        long sequence,
-        long fencingToken,
+        Count agentEpoch,
+        Count sequence,
+        Count fencingToken,
         Duration spotNotice,
         List<TaskStatus> tasks) {
 
@@ -35,8 +35,9 @@
         return HeartbeatReader.read(body, lastHeartbeats);
     }
 
-    /** Whether the agent sent this heartbeat after the one with the given agent epoch and sequence number. */
-    public boolean isNewerThan(long otherAgentEpoch, long otherSequence) {
-        return agentEpoch > otherAgentEpoch || (agentEpoch == otherAgentEpoch && sequence > otherSequence);
+    /** Whether the agent sent this heartbeat after the other one. */
+    public boolean isNewerThan(Heartbeat other) {
+        int byEpoch = agentEpoch.compareTo(other.agentEpoch);
+        return byEpoch > 0 || (byEpoch == 0 && sequence.isGreaterThan(other.sequence));
     }
 }
--- a/src/main/java/org/gullway/protocol/HeartbeatReader.java
+++ b/src/main/java/org/gullway/protocol/HeartbeatReader.java
@@ -3,7 +3,6 @@
 import com.fasterxml.jackson.core.JsonParser;
 import com.fasterxml.jackson.core.JsonToken;
 import java.io.IOException;
-import java.math.BigInteger;
 import java.time.Duration;
 import java.util.ArrayList;
 import java.util.List;
@@ -15,8 +14,6 @@
  * the machine's name precedes those values in the encoding; values before it are decoded without reuse.
  */
 final class HeartbeatReader {
-    private static final BigInteger MAX_COUNT = BigInteger.valueOf(Long.MAX_VALUE);
-
     private static final String EXPECTED_TEXT = "a text of 1 to " + MessageFields.MAX_TEXT_CHARACTERS + " characters";
 
     private final JsonParser parser;
@@ -29,9 +26,9 @@
     private String type;
     private String zone;
     private Boolean spot;
-    private long agentEpoch = -1;
-    private long sequence = -1;
-    private long fencingToken = -1;
+    private Count agentEpoch;
+    private Count sequence;
+    private Count fencingToken;
     private Duration spotNotice;
     private List<TaskStatus> tasks = List.of();
 
@@ -85,9 +82,9 @@
         requirePresent(type != null, "breed");
         requirePresent(zone != null, "shore");
         requirePresent(spot != null, "driftwood");
-        requirePresent(agentEpoch >= 0, "flight");
-        requirePresent(sequence >= 0, "tally");
-        requirePresent(fencingToken >= 0, "baton");
+        requirePresent(agentEpoch != null, "flight");
+        requirePresent(sequence != null, "tally");
+        requirePresent(fencingToken != null, "baton");
         return new Heartbeat(machine, address, type, zone, spot, agentEpoch, sequence, fencingToken, spotNotice, tasks);
     }
 
@@ -128,7 +125,7 @@
     @SuppressWarnings("ReferenceEquality")
     private TaskStatus readTask(TaskStatus lastStatus) throws IOException, MalformedMessageException {
         TaskId task = null;
-        long attempt = -1;
+        Count attempt = null;
         TaskStatus.Phase phase = null;
         TaskStatus.Cause cause = null;
         boolean causeIsValid = true;
@@ -156,12 +153,12 @@
         }
         requireEnd();
         requirePresent(task != null, "legs[].leg");
-        requirePresent(attempt >= 0, "legs[].launch");
+        requirePresent(attempt != null, "legs[].launch");
         requirePresent(phase != null, "legs[].tide");
         cause = causeOf(phase, cause, causeIsValid);
         if (lastStatus != null
                 && lastStatus.task() == task
-                && lastStatus.attempt() == attempt
+                && lastStatus.attempt().equals(attempt)
                 && lastStatus.phase() == phase
                 && lastStatus.cause() == cause
                 && lastStatus.checkpointed() == checkpointed) {
@@ -224,19 +221,12 @@
         return true;
     }
 
-    private long count(String name) throws IOException, MalformedMessageException {
-        if (parser.currentToken() == JsonToken.VALUE_NUMBER_INT) {
-            if (parser.getNumberType() != JsonParser.NumberType.BIG_INTEGER) {
-                long value = parser.getLongValue();
-                if (value >= 0) {
-                    return value;
-                }
-            } else if (parser.getBigIntegerValue().signum() >= 0
-                    && parser.getBigIntegerValue().compareTo(MAX_COUNT) <= 0) {
-                return parser.getBigIntegerValue().longValue();
-            }
+    private Count count(String name) throws IOException, MalformedMessageException {
+        Count count = Count.of(parser);
+        if (count == null) {
+            throw invalid(name, Count.EXPECTED);
         }
-        throw invalid(name, "a count");
+        return count;
     }
 
     private boolean flag(String name) throws MalformedMessageException {
--- a/src/main/java/org/gullway/protocol/JsonSize.java
+++ b/src/main/java/org/gullway/protocol/JsonSize.java
@@ -15,6 +15,9 @@
     private static final char LAST_PRINTABLE = '~';
     private static final int DECIMAL_BASE = 10;
 
+    /** Size of the longest count. */
+    public static final int MAX_COUNT_BYTES = ofCount(Count.MAX);
+
     private JsonSize() {}
 
     /** Returns the largest size of a text with this many characters. */
@@ -38,6 +41,12 @@
         return character == '"' || character == '\\' ? SHORT_ESCAPE_BYTES : 1;
     }
 
+    /** Returns the size of a count. */
+    public static int ofCount(Count count) {
+        long bits = count.unsignedBits();
+        return bits >= 0 ? ofInteger(bits) : 1 + ofInteger(Long.divideUnsigned(bits, DECIMAL_BASE));
+    }
+
     /** Returns the size of an integer. */
     public static int ofInteger(long number) {
         int size = number < 0 ? 2 : 1;
--- a/src/main/java/org/gullway/protocol/JsonTrees.java
+++ b/src/main/java/org/gullway/protocol/JsonTrees.java
@@ -131,7 +131,7 @@
             case LONG -> generator.writeNumber(node.longValue());
             case FLOAT -> generator.writeNumber(node.floatValue());
             case DOUBLE -> generator.writeNumber(node.doubleValue());
-            case BIG_INTEGER -> generator.writeNumber(node.bigIntegerValue());
+            case BIG_INTEGER -> Cbor.writeInteger(node.bigIntegerValue(), generator);
             default -> generator.writeNumber(node.decimalValue());
         }
     }
--- a/src/main/java/org/gullway/protocol/MessageFields.java
+++ b/src/main/java/org/gullway/protocol/MessageFields.java
@@ -1,7 +1,6 @@
 package org.gullway.protocol;
 
 import com.fasterxml.jackson.databind.JsonNode;
-import java.math.BigInteger;
 import java.nio.charset.StandardCharsets;
 import java.time.Duration;
 import java.util.ArrayList;
@@ -116,25 +115,40 @@
         return Duration.ofNanos(Math.round(amount(name) * 1e6));
     }
 
-    /** Reads an integer from 0 to {@link Long#MAX_VALUE}. A floating-point number is an error even if it is whole. */
-    public long count(String name) throws MalformedMessageException {
-        JsonNode node = required(name);
-        if (node.isIntegralNumber()) {
-            BigInteger value = node.bigIntegerValue();
-            if (value.signum() >= 0 && value.bitLength() < 64) {
-                return value.longValue();
-            }
+    /** Reads an integer from 0 to 2^64 - 1. A floating-point number is an error even if it is whole. */
+    public Count count(String name) throws MalformedMessageException {
+        Count count = Count.of(required(name));
+        if (count == null) {
+            throw invalid(name, Count.EXPECTED);
         }
-        throw invalid(name, "a count");
+        return count;
     }
 
     /** Reads an integer from 0 to {@code max}. */
     public int countUpTo(String name, int max) throws MalformedMessageException {
-        long value = count(name);
-        if (value > max) {
-            throw invalid(name, "a count up to " + max);
+        return (int) longUpTo(name, max);
+    }
+
+    /** Reads an integer from 0 to {@code max}. */
+    public long longUpTo(String name, long max) throws MalformedMessageException {
+        Count count = Count.of(required(name));
+        if (count == null || count.isGreaterThan(Count.of(max))) {
+            throw invalid(name, "an integer from 0 to " + max);
+        }
+        return count.unsignedBits();
+    }
+
+    /**
+     * Reads the count at a position of a list.
+     *
+     * @param path the path of the list, for the error
+     */
+    public static Count countAt(JsonNode list, int position, String path) throws MalformedMessageException {
+        Count count = Count.of(list.path(position));
+        if (count == null) {
+            throw new MalformedMessageException(path + "[" + position + "] is not " + Count.EXPECTED);
         }
-        return (int) value;
+        return count;
     }
 
     /** Reads a boolean. A missing field is an error and does not count as false. */
--- a/src/main/java/org/gullway/protocol/MessageLimits.java
+++ b/src/main/java/org/gullway/protocol/MessageLimits.java
@@ -16,11 +16,11 @@
             "run-" + "9".repeat(JobRequest.MAX_ID_DIGITS) + "/" + (JobRequest.MAX_TASKS - 1);
 
     private static final String LONGEST_HEARTBEAT_HEADER =
-            "{\"perch\":,\"endpoint\":,\"breed\":,\"shore\":,\"driftwood\":false,\"flight\":" + Long.MAX_VALUE
-                    + ",\"tally\":" + Long.MAX_VALUE + ",\"baton\":" + Long.MAX_VALUE + ",\"warning_s\":"
+            "{\"perch\":,\"endpoint\":,\"breed\":,\"shore\":,\"driftwood\":false,\"flight\":" + Count.MAX
+                    + ",\"tally\":" + Count.MAX + ",\"baton\":" + Count.MAX + ",\"warning_s\":"
                     + Double.MIN_VALUE + ",\"legs\":[]}";
-    private static final String LONGEST_LISTED_ATTEMPT = "{\"leg\":\"" + LONGEST_TASK_ID + "\",\"launch\":"
-            + Long.MAX_VALUE + ",\"tide\":\"ended\",\"cause\":\"halted\",\"stored\":false},";
+    private static final String LONGEST_LISTED_ATTEMPT = "{\"leg\":\"" + LONGEST_TASK_ID + "\",\"launch\":" + Count.MAX
+            + ",\"tide\":\"ended\",\"cause\":\"halted\",\"stored\":false},";
 
     /**
      * The number of attempts that a heartbeat can list without exceeding {@link #MAX_MESSAGE_BYTES}. An agent lists all
--- a/src/main/java/org/gullway/protocol/PeerCancellations.java
+++ b/src/main/java/org/gullway/protocol/PeerCancellations.java
@@ -34,7 +34,7 @@
     public record CancelledJob(String id, long cancelledAt, List<CancelledAttempt> attempts) {}
 
     /** One attempt of a task, with its machine and the epoch of the agent on that machine. */
-    public record CancelledAttempt(int task, long attempt, String machine, long agentEpoch) {}
+    public record CancelledAttempt(int task, Count attempt, String machine, Count agentEpoch) {}
 
     /**
      * Encodes a response. Once its jobs take more than {@link #CONTENT_BYTES_THRESHOLD} bytes, the other jobs are left
@@ -74,9 +74,9 @@
         out.writeInt(job.attempts.size());
         for (CancelledAttempt attempt : job.attempts) {
             out.writeInt(attempt.task);
-            out.writeLong(attempt.attempt);
+            PeerMessages.writeUnsignedLong(out, attempt.attempt);
             out.writeUTF(attempt.machine);
-            out.writeLong(attempt.agentEpoch);
+            PeerMessages.writeUnsignedLong(out, attempt.agentEpoch);
         }
     }
 
@@ -112,7 +112,11 @@
         }
         List<CancelledAttempt> attempts = new ArrayList<>();
         for (int i = 0; i < count; i++) {
-            attempts.add(new CancelledAttempt(in.readInt(), in.readLong(), PeerMessages.readText(in), in.readLong()));
+            attempts.add(new CancelledAttempt(
+                    in.readInt(),
+                    PeerMessages.readUnsignedLong(in),
+                    PeerMessages.readText(in),
+                    PeerMessages.readUnsignedLong(in)));
         }
         return new CancelledJob(id, cancelledAt, List.copyOf(attempts));
     }
--- a/src/main/java/org/gullway/protocol/PeerMessages.java
+++ b/src/main/java/org/gullway/protocol/PeerMessages.java
@@ -66,6 +66,14 @@
         return text;
     }
 
+    static void writeUnsignedLong(DataOutputStream out, Count count) throws IOException {
+        out.writeLong(count.unsignedBits());
+    }
+
+    static Count readUnsignedLong(DataInputStream in) throws IOException {
+        return Count.ofUnsignedBits(in.readLong());
+    }
+
     /** Reads the number of items and checks it against the limit. */
     static int readCount(DataInputStream in, int max, String content) throws IOException, MalformedMessageException {
         int count = in.readUnsignedShort();
--- a/src/main/java/org/gullway/protocol/ResourceOffer.java
+++ b/src/main/java/org/gullway/protocol/ResourceOffer.java
@@ -13,7 +13,7 @@
  * @param declinedBy controllers that could not use the resources. Each controller adds itself before it sends the
  *     offer; the list is empty for an offer of its own machines that a controller has not sent yet
  */
-public record ResourceOffer(String machine, long agentEpoch, List<String> declinedBy) {
+public record ResourceOffer(String machine, Count agentEpoch, List<String> declinedBy) {
     public static final int MAX_PER_MESSAGE = 128;
     private static final int VERSION = 2;
     private static final int MAX_DECLINES = 64;
@@ -32,7 +32,7 @@
 
     private void writeTo(DataOutputStream out) throws IOException {
         out.writeUTF(machine);
-        out.writeLong(agentEpoch);
+        PeerMessages.writeUnsignedLong(out, agentEpoch);
         out.writeByte(declinedBy.size());
         for (String name : declinedBy) {
             out.writeUTF(name);
@@ -60,7 +60,7 @@
 
     private static ResourceOffer read(DataInputStream in) throws IOException, MalformedMessageException {
         String machine = PeerMessages.readText(in);
-        long agentEpoch = in.readLong();
+        Count agentEpoch = PeerMessages.readUnsignedLong(in);
         int count = in.readUnsignedByte();
         if (count > MAX_DECLINES) {
             throw new MalformedMessageException(
--- a/src/main/java/org/gullway/protocol/TaskStatus.java
+++ b/src/main/java/org/gullway/protocol/TaskStatus.java
@@ -6,7 +6,7 @@
  * @param cause why the attempt ended; null until it has ended
  * @param checkpointed whether the agent reports that a checkpoint of the task is stored
  */
-public record TaskStatus(TaskId task, long attempt, Phase phase, Cause cause, boolean checkpointed) {
+public record TaskStatus(TaskId task, Count attempt, Phase phase, Cause cause, boolean checkpointed) {
     /** The phase of an attempt. The attempt uses resources of its machine in every phase except {@code ENDED}. */
     public enum Phase {
         FETCHING,
--- a/src/main/java/org/gullway/storage/ConflictHistory.java
+++ b/src/main/java/org/gullway/storage/ConflictHistory.java
@@ -4,13 +4,14 @@
 import java.util.Map;
 import java.util.Set;
 import org.gullway.coordination.model.StoreKeys;
+import org.gullway.protocol.Count;
 
 /**
  * Keeps the failed conditions since the last committed transaction, to detect keys of which the cluster state has a
  * wrong version.
  */
 final class ConflictHistory {
-    private record Conflict(long expectedVersion, long revision) {}
+    private record Conflict(Count expectedVersion, Count revision) {}
 
     private final Map<String, Conflict> lastConflicts = new HashMap<>();
 
@@ -30,16 +31,16 @@
      * @param watchedRevision the revision that the watch had reached when the transaction was sent
      * @return true if the cluster state has a wrong version of any of the keys
      */
-    boolean record(Set<String> failed, Map<String, Long> expectedVersions, long revision, long watchedRevision) {
+    boolean record(Set<String> failed, Map<String, Count> expectedVersions, Count revision, Count watchedRevision) {
         boolean inconsistent = false;
         for (String key : failed) {
-            long expected = expectedVersions.get(key);
+            Count expected = expectedVersions.get(key);
             Conflict previous = lastConflicts.put(key, new Conflict(expected, revision));
             inconsistent |= key.startsWith(StoreKeys.LIVE)
                     && previous != null
-                    && previous.expectedVersion() > 0
-                    && previous.expectedVersion() == expected
-                    && watchedRevision >= previous.revision();
+                    && !previous.expectedVersion().isZero()
+                    && previous.expectedVersion().equals(expected)
+                    && watchedRevision.isAtLeast(previous.revision());
         }
         return inconsistent;
     }
--- a/src/main/java/org/gullway/storage/FencingTokenFormat.java
+++ b/src/main/java/org/gullway/storage/FencingTokenFormat.java
@@ -11,7 +11,9 @@
 final class FencingTokenFormat implements RecordFormat<FencingToken> {
     @Override
     public ObjectNode encode(FencingToken token) {
-        return Cbor.map().put("epoch", token.value());
+        ObjectNode node = Cbor.map();
+        node.set("epoch", token.value().toNode());
+        return node;
     }
 
     @Override
--- a/src/main/java/org/gullway/storage/FullRead.java
+++ b/src/main/java/org/gullway/storage/FullRead.java
@@ -5,6 +5,7 @@
 import java.util.Map;
 import java.util.function.BooleanSupplier;
 import org.gullway.coordination.model.StoreKeys;
+import org.gullway.protocol.Count;
 
 /** One full read: reads all keys under {@link StoreKeys#LIVE}, page by page. */
 final class FullRead {
@@ -17,7 +18,7 @@
          * @param revision revision of the first page; a watch from this revision returns all changes made during the
          *     read
          */
-        void onComplete(Map<String, JsonNode> items, long revision);
+        void onComplete(Map<String, JsonNode> items, Count revision);
 
         /** Called when a page could not be read; the remaining pages are not requested. */
         void onFailed();
@@ -36,10 +37,11 @@
     }
 
     void start() {
-        readPage(null, 0);
+        readPage(null, null);
     }
 
-    private void readPage(String after, long firstRevision) {
+    /** @param firstRevision revision of the first page; null if the page to read is the first one */
+    private void readPage(String after, Count firstRevision) {
         store.list(StoreKeys.LIVE, after, outcome -> {
             if (!isCurrent.getAsBoolean()) {
                 return;
@@ -52,13 +54,13 @@
         });
     }
 
-    private void onPage(StateStoreClient.Outcome outcome, long firstRevision) {
+    private void onPage(StateStoreClient.Outcome outcome, Count firstRevision) {
         String lastKey = null;
         for (JsonNode item : outcome.body().path("items")) {
             lastKey = item.path("k").asText();
             items.put(lastKey, item);
         }
-        long revision = firstRevision == 0 ? outcome.revision() : firstRevision;
+        Count revision = firstRevision == null ? outcome.revision() : firstRevision;
         if (outcome.body().path("more").asBoolean() && lastKey != null) {
             readPage(lastKey, revision);
         } else {
--- a/src/main/java/org/gullway/storage/IncarnationFormat.java
+++ b/src/main/java/org/gullway/storage/IncarnationFormat.java
@@ -24,6 +24,6 @@
     }
 
     static Incarnation fromFields(MessageFields fields) throws MalformedMessageException {
-        return new Incarnation(fields.text("node"), fields.count("number"));
+        return new Incarnation(fields.text("node"), fields.longUpTo("number", Long.MAX_VALUE));
     }
 }
--- a/src/main/java/org/gullway/storage/JobFormat.java
+++ b/src/main/java/org/gullway/storage/JobFormat.java
@@ -14,6 +14,7 @@
 import org.gullway.coordination.model.JobRecord;
 import org.gullway.coordination.model.Placement;
 import org.gullway.protocol.Cbor;
+import org.gullway.protocol.Count;
 import org.gullway.protocol.JobRequest;
 import org.gullway.protocol.MalformedMessageException;
 import org.gullway.protocol.MessageFields;
@@ -43,9 +44,9 @@
         if (job.isCancelled()) {
             node.put("cancelled", job.cancelledAt().toEpochMilli());
         }
-        node.put("submitted", job.submittedAt().toEpochMilli())
-                .put("attempts", job.attemptCount())
-                .put("errors", job.consecutiveErrors());
+        node.put("submitted", job.submittedAt().toEpochMilli());
+        node.set("attempts", job.attemptCount().toNode());
+        node.put("errors", job.consecutiveErrors());
         ArrayNode completed = node.putArray("done");
         for (int bound : job.completedTasks().bounds()) {
             completed.add(bound);
@@ -70,10 +71,10 @@
                             List.of(placement.machine(), placement.agentEpoch(), sinceSubmission),
                             key -> live.addArray()
                                     .add(placement.machine())
-                                    .add(placement.agentEpoch())
+                                    .add(placement.agentEpoch().toNode())
                                     .add(sinceSubmission))
                     .add(placement.task())
-                    .add(placement.attempt());
+                    .add(placement.attempt().toNode());
             if (placement.stopping()) {
                 stopping = stopping == null ? node.putArray("stopping") : stopping;
                 stopping.add(placement.task());
@@ -99,7 +100,7 @@
     }
 
     private static Instant decodeTime(MessageFields fields, String name) throws MalformedMessageException {
-        return Instant.ofEpochMilli(fields.count(name));
+        return Instant.ofEpochMilli(fields.longUpTo(name, Long.MAX_VALUE));
     }
 
     private static List<Placement> decodePlacements(JsonNode value, Instant submittedAt)
@@ -109,12 +110,12 @@
         List<Placement> live = new ArrayList<>();
         for (JsonNode entry : value.path("live")) {
             String machine = MessageFields.textAt(entry, MACHINE, "live[]");
-            long agentEpoch = entry.path(AGENT_EPOCH).asLong();
+            Count agentEpoch = MessageFields.countAt(entry, AGENT_EPOCH, "live[]");
             Instant placedAt =
                     submittedAt.plusMillis(entry.path(MILLIS_SINCE_SUBMISSION).asLong());
             for (int i = FIRST_TASK; i + 1 < entry.size(); i += 2) {
                 int task = entry.get(i).asInt();
-                long attempt = entry.get(i + 1).asLong();
+                Count attempt = MessageFields.countAt(entry, i + 1, "live[]");
                 live.add(new Placement(task, attempt, machine, agentEpoch, stopping.contains(task), placedAt));
             }
         }
--- a/src/main/java/org/gullway/storage/MachineShardFormat.java
+++ b/src/main/java/org/gullway/storage/MachineShardFormat.java
@@ -11,6 +11,7 @@
 import org.gullway.coordination.model.MachineRecord.MachineLifecycle;
 import org.gullway.coordination.model.MachineShard;
 import org.gullway.protocol.Cbor;
+import org.gullway.protocol.Count;
 import org.gullway.protocol.MalformedMessageException;
 import org.gullway.protocol.MessageFields;
 
@@ -29,7 +30,7 @@
     public ObjectNode encode(MachineShard shard) {
         ObjectNode node = Cbor.map();
         node.set("controller", IncarnationFormat.toNode(shard.controller()));
-        node.put("epoch", shard.fencingToken());
+        node.set("epoch", shard.fencingToken().toNode());
         ArrayNode machines = node.putArray("machines");
         for (MachineRecord machine : shard.machines()) {
             machines.addArray()
@@ -37,7 +38,7 @@
                     .add(machine.type())
                     .add(machine.zone())
                     .add(machine.spot())
-                    .add(machine.agentEpoch())
+                    .add(machine.agentEpoch().toNode())
                     .add(storedName(machine.lifecycle()))
                     .add(machine.provisionedAt().toEpochMilli())
                     .add(machine.address() == null ? "" : machine.address());
@@ -58,7 +59,7 @@
     public MachineShard decode(String id, JsonNode value) throws MalformedMessageException {
         MessageFields fields = MessageFields.of(value);
         Incarnation controller = IncarnationFormat.fromFields(fields.nested("controller"));
-        long fencingToken = fields.count("epoch");
+        Count fencingToken = fields.count("epoch");
         List<MachineRecord> machines = new ArrayList<>();
         for (JsonNode machine : value.path("machines")) {
             machines.add(decodeMachine(machine, controller, fencingToken));
@@ -66,10 +67,11 @@
         return new MachineShard(id, controller, fencingToken, List.copyOf(machines));
     }
 
-    private static MachineRecord decodeMachine(JsonNode machine, Incarnation controller, long fencingToken)
+    private static MachineRecord decodeMachine(JsonNode machine, Incarnation controller, Count fencingToken)
             throws MalformedMessageException {
         String name = text(machine, NAME);
         String address = text(machine, ADDRESS);
+        MachineLifecycle lifecycle = decodeLifecycle(name, text(machine, LIFECYCLE));
         return new MachineRecord(
                 name,
                 address.isEmpty() ? null : address,
@@ -77,9 +79,9 @@
                 text(machine, ZONE),
                 machine.path(SPOT).asBoolean(),
                 controller,
-                machine.path(AGENT_EPOCH).asLong(),
+                MessageFields.countAt(machine, AGENT_EPOCH, "machines[]"),
                 fencingToken,
-                decodeLifecycle(name, text(machine, LIFECYCLE)),
+                lifecycle,
                 Instant.ofEpochMilli(machine.path(PROVISIONED_AT).asLong()));
     }
 
--- a/src/main/java/org/gullway/storage/MembershipLease.java
+++ b/src/main/java/org/gullway/storage/MembershipLease.java
@@ -8,6 +8,7 @@
 import org.gullway.coordination.model.ClusterState;
 import org.gullway.coordination.model.Incarnation;
 import org.gullway.coordination.model.StoreKeys;
+import org.gullway.protocol.Count;
 import org.gullway.transport.EventLoop;
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
@@ -36,10 +37,13 @@
     private final Runnable onJoined;
     private final Runnable requestCycle;
     private Phase phase = Phase.NOT_MEMBER;
+    /** Id of the current or last lease; zero before the first. */
+    private Count leaseId = Count.ZERO;
+
     /** Revision at which this controller's member key was last written. */
-    private long memberKeyRevision;
+    private Count memberKeyRevision = Count.ZERO;
     /** Revision at which the current membership began. */
-    private long joinedRevision;
+    private Count joinedRevision = Count.ZERO;
     /**
      * Number of the current membership, incremented on each join. The outcome of a transaction that was sent under a
      * lower number is late, and must not be taken for the outcome of the transaction in flight.
@@ -79,27 +83,27 @@
     }
 
     /** Returns true if this controller is a member with this lease, which may have expired. */
-    boolean isCurrentLease(long leaseId) {
-        return leaseId == membership.leaseId() && phase == Phase.MEMBER;
+    boolean isCurrentLease(Count lease) {
+        return lease.equals(leaseId) && phase == Phase.MEMBER;
     }
 
     Incarnation self() {
         return membership.self();
     }
 
-    long leaseId() {
-        return membership.leaseId();
+    Count leaseId() {
+        return leaseId;
     }
 
     int membershipNumber() {
         return membershipNumber;
     }
 
-    long memberKeyRevision() {
+    Count memberKeyRevision() {
         return memberKeyRevision;
     }
 
-    long joinedRevision() {
+    Count joinedRevision() {
         return joinedRevision;
     }
 
@@ -108,7 +112,7 @@
     }
 
     /** Records the revision at which this controller's member key was written on its current lease. */
-    void onMemberKeyWritten(long revision) {
+    void onMemberKeyWritten(Count revision) {
         memberKeyRevision = revision;
         clusterState.put(memberKey(), self(), revision);
     }
@@ -138,8 +142,8 @@
         });
     }
 
-    private void revokeFormerLease(long leaseId) {
-        store.revokeLease(leaseId, outcome -> {
+    private void revokeFormerLease(Count formerLeaseId) {
+        store.revokeLease(formerLeaseId, outcome -> {
             if (outcome.isOk()) {
                 tryJoin();
             } else {
@@ -163,18 +167,19 @@
         });
     }
 
-    private void writeMemberKey(long leaseId, Instant requestedAt) {
-        store.commit(Set.of(memberKey()), key -> 0, Map.of(memberKey(), self()), leaseId, outcome -> {
+    private void writeMemberKey(Count newLeaseId, Instant requestedAt) {
+        store.commit(Set.of(memberKey()), key -> Count.ZERO, Map.of(memberKey(), self()), newLeaseId, outcome -> {
             if (outcome.isOkWithBody()) {
-                completeJoin(leaseId, requestedAt, outcome.revision());
+                completeJoin(newLeaseId, requestedAt, outcome.revision());
             } else {
                 retryJoin();
             }
         });
     }
 
-    private void completeJoin(long leaseId, Instant requestedAt, long revision) {
-        membership.onJoined(leaseId, requestedAt);
+    private void completeJoin(Count newLeaseId, Instant requestedAt, Count revision) {
+        leaseId = newLeaseId;
+        membership.onRenewed(requestedAt);
         joinedRevision = revision;
         onMemberKeyWritten(revision);
         phase = Phase.MEMBER;
@@ -188,13 +193,13 @@
         if (phase != Phase.MEMBER || renewalsInFlight >= MAX_RENEWALS_IN_FLIGHT) {
             return;
         }
-        long leaseId = membership.leaseId();
+        Count renewedLeaseId = leaseId;
         Instant sentAt = loop.now();
         Duration timeout = membership.leaseDuration().dividedBy(RENEWAL_TIMEOUT_DIVISOR);
         renewalsInFlight++;
-        store.renewLease(leaseId, timeout, outcome -> {
+        store.renewLease(renewedLeaseId, timeout, outcome -> {
             renewalsInFlight--;
-            if (isCurrentLease(leaseId)) {
+            if (isCurrentLease(renewedLeaseId)) {
                 onRenewalOutcome(outcome, sentAt);
             }
         });
@@ -205,11 +210,11 @@
             boolean wasValid = membership.isLeaseValid(loop.now());
             membership.onRenewed(sentAt);
             if (!wasValid) {
-                LOG.info("membership lease valid again after a late renewal lease={}", membership.leaseId());
+                LOG.info("membership lease valid again after a late renewal lease={}", leaseId);
                 requestCycle.run();
             }
         } else if (outcome.isNotFound()) {
-            LOG.info("membership lease expired in the state store; joining again lease={}", membership.leaseId());
+            LOG.info("membership lease expired in the state store; joining again lease={}", leaseId);
             join();
         }
     }
--- a/src/main/java/org/gullway/storage/RecordFormat.java
+++ b/src/main/java/org/gullway/storage/RecordFormat.java
@@ -15,7 +15,8 @@
     /**
      * Decodes a stored record. Not everything is validated: the values of placements, completed tasks and machines, and
      * the amounts of a quota partition, are converted to the required type, and are 0, false or an empty text if they
-     * are missing or cannot be converted. Unknown lifecycles and invalid ranges of completed tasks are still rejected.
+     * are missing or cannot be converted. Agent epochs, attempts, unknown lifecycles and invalid ranges of completed
+     * tasks are still rejected.
      *
      * @param name the key without the prefix of the record type
      * @throws MalformedMessageException if the format rejects a field
--- a/src/main/java/org/gullway/storage/ReplicatedState.java
+++ b/src/main/java/org/gullway/storage/ReplicatedState.java
@@ -7,6 +7,7 @@
 import org.gullway.coordination.membership.Membership;
 import org.gullway.coordination.model.ClusterState;
 import org.gullway.coordination.model.Transaction;
+import org.gullway.protocol.Count;
 import org.gullway.transport.EventLoop;
 import org.gullway.transport.TokenBucket;
 
@@ -25,7 +26,7 @@
      * @param failedConditions keys whose conditions failed
      * @param revision revision of the state store at which the transaction was committed; 0 if it was not
      */
-    public record CommitResult(Status status, Set<String> failedConditions, long revision) {
+    public record CommitResult(Status status, Set<String> failedConditions, Count revision) {
         /** Whether the transaction was committed, and if not, why. */
         public enum Status {
             /** The store confirmed the commit. */
@@ -40,14 +41,14 @@
         }
 
         static final CommitResult UNCONFIRMED = unconfirmed(Set.of());
-        static final CommitResult NOT_ENCODABLE = new CommitResult(Status.NOT_ENCODABLE, Set.of(), 0);
+        static final CommitResult NOT_ENCODABLE = new CommitResult(Status.NOT_ENCODABLE, Set.of(), Count.ZERO);
 
-        static CommitResult committed(long revision) {
+        static CommitResult committed(Count revision) {
             return new CommitResult(Status.COMMITTED, Set.of(), revision);
         }
 
         static CommitResult unconfirmed(Set<String> failedConditions) {
-            return new CommitResult(Status.UNCONFIRMED, failedConditions, 0);
+            return new CommitResult(Status.UNCONFIRMED, failedConditions, Count.ZERO);
         }
 
         public boolean isCommitted() {
@@ -156,7 +157,7 @@
         // A cluster state from before the join may lack placements that other controllers committed until then.
         return membershipLease.isValid()
                 && watchStream.isFresh()
-                && clusterState.watchedRevision() >= membershipLease.joinedRevision();
+                && clusterState.watchedRevision().isAtLeast(membershipLease.joinedRevision());
     }
 
     /** Returns true if a full read is complete and the latest answer to it or to a watch is less than 10 s old. */
--- a/src/main/java/org/gullway/storage/StateStoreClient.java
+++ b/src/main/java/org/gullway/storage/StateStoreClient.java
@@ -1,6 +1,5 @@
 package org.gullway.storage;
 
-import com.fasterxml.jackson.databind.JsonNode;
 import com.fasterxml.jackson.databind.node.ArrayNode;
 import com.fasterxml.jackson.databind.node.ObjectNode;
 import java.time.Duration;
@@ -9,10 +8,11 @@
 import java.util.Map;
 import java.util.Set;
 import java.util.function.Consumer;
-import java.util.function.ToLongFunction;
+import java.util.function.Function;
 import org.gullway.coordination.model.StoreKeys;
 import org.gullway.coordination.model.StoreRecord;
 import org.gullway.protocol.Cbor;
+import org.gullway.protocol.Count;
 import org.gullway.protocol.MalformedMessageException;
 import org.gullway.transport.HttpClient;
 import org.gullway.transport.HttpRequest;
@@ -23,8 +23,9 @@
 
 /**
  * Client for the HTTP API of the state store. Every call leads to exactly one call of its callback, also if the request
- * cannot be encoded: callers wait for the outcome before they send the next request. The outcome of a request counts as unknown if the request may have been
- * sent but has no response, or if its response has an unexpected status, or status 200 without a readable body.
+ * cannot be encoded: callers wait for the outcome before they send the next request. The outcome of a request counts as
+ * unknown if the request may have been sent but has no response, or if its response has an unexpected status, or status
+ * 200 without a readable body.
  */
 public final class StateStoreClient {
     private static final Logger LOG = LoggerFactory.getLogger(StateStoreClient.class);
@@ -51,14 +52,36 @@
      *
      * @param httpOutcome whether the request was answered, and if not, whether it may have been carried out
      * @param status HTTP status; 0 if the request was not answered
-     * @param body decoded body of the response; null if the response has no body or the body is not a CBOR map
+     * @param body decoded body of the response; null if the response has no body, or one that is not a CBOR map or has
+     *     an invalid revision, version or lease
+     * @param counts the revision and the lease in the body
      * @param isEncodable false if the request could not be encoded, so that nothing was sent
      */
-    public record Outcome(HttpResponse.Outcome httpOutcome, int status, ObjectNode body, boolean isEncodable) {
-        private static final Outcome NOT_ENCODABLE = new Outcome(HttpResponse.Outcome.NOT_SENT, 0, null, false);
+    public record Outcome(
+            HttpResponse.Outcome httpOutcome, int status, ObjectNode body, ResponseCounts counts, boolean isEncodable) {
+        private static final Outcome NOT_ENCODABLE =
+                new Outcome(HttpResponse.Outcome.NOT_SENT, 0, null, ResponseCounts.NONE, false);
+
+        private static Outcome of(HttpResponse response, String requiredCount) {
+            ObjectNode body = null;
+            ResponseCounts counts = ResponseCounts.NONE;
+            if (response.outcome() == HttpResponse.Outcome.ANSWERED && response.body().length > 0) {
+                try {
+                    ObjectNode decoded = Cbor.decodeLeniently(response.body());
+                    counts = ResponseCounts.parse(decoded, hasResult(response.status()) ? requiredCount : null);
+                    body = decoded;
+                } catch (MalformedMessageException e) {
+                    LOG.error(
+                            "ignored the body of a response of the state store status={} error=\"{}\"",
+                            response.status(),
+                            e.getMessage());
+                }
+            }
+            return new Outcome(response.outcome(), response.status(), body, counts, true);
+        }
 
-        private static Outcome of(HttpResponse response) {
-            return new Outcome(response.outcome(), response.status(), bodyOf(response), true);
+        private static boolean hasResult(int status) {
+            return status == HttpStatus.OK || status == HttpStatus.CONFLICT;
         }
 
         private boolean hasStatus(int expected) {
@@ -131,21 +154,21 @@
 
         /**
          * Returns the revision of the store at which the request was carried out or, for a read of a single key, the
-         * version of the key, which is the revision at which the key was last written; 0 if the response contains
+         * version of the key, which is the revision at which the key was last written; zero if the response contains
          * neither.
          */
-        public long revision() {
-            return body == null ? 0 : body.path("logline").asLong(version(body));
+        public Count revision() {
+            return counts.revision();
         }
 
         /** Returns the ID of the lease that was granted, or on which the key is held. Requires a body. */
-        long leaseId() {
-            return body.path("tether").asLong();
+        Count leaseId() {
+            return counts.leaseId();
         }
 
-        /** Returns true if the key that was read is held on a lease. Requires a body. */
+        /** Returns true if the key that was read is held on a lease. */
         boolean hasLease() {
-            return body.hasNonNull("tether");
+            return counts.leaseId() != null;
         }
 
         /** Returns the keys whose conditions failed. Requires a body. */
@@ -156,24 +179,14 @@
         }
     }
 
-    private void send(HttpRequest request, Consumer<Outcome> callback) {
-        httpClient.call(address, request, response -> callback.accept(Outcome.of(response)));
-    }
-
-    private static ObjectNode bodyOf(HttpResponse response) {
-        if (response.outcome() != HttpResponse.Outcome.ANSWERED || response.body().length == 0) {
-            return null;
-        }
-        try {
-            return Cbor.decodeLeniently(response.body());
-        } catch (MalformedMessageException e) {
-            return null;
-        }
+    /** @param requiredCount name of the number that a response with a result must have; null if it need not have any */
+    private void send(HttpRequest request, String requiredCount, Consumer<Outcome> callback) {
+        httpClient.call(address, request, response -> callback.accept(Outcome.of(response, requiredCount)));
     }
 
     /** Reads a single key. */
     public void get(String key, Consumer<Outcome> callback) {
-        send(HttpRequest.get("/store/" + key, REQUEST_TIMEOUT), callback);
+        send(HttpRequest.get("/store/" + key, REQUEST_TIMEOUT), null, callback);
     }
 
     /**
@@ -183,7 +196,8 @@
      */
     public void list(String prefix, String after, Consumer<Outcome> callback) {
         String from = after == null ? "" : "&from=" + after;
-        send(HttpRequest.get("/store?under=" + prefix + from + "&page=" + PAGE_SIZE, REQUEST_TIMEOUT), callback);
+        String path = "/store?under=" + prefix + from + "&page=" + PAGE_SIZE;
+        send(HttpRequest.get(path, REQUEST_TIMEOUT), ResponseCounts.REVISION, callback);
     }
 
     /**
@@ -191,43 +205,44 @@
      * the duration {@code wait} if there are none. The protocol has no limit for the response, which contains all
      * changes; beyond {@link #MAX_WATCH_RESPONSE_BYTES} the outcome is {@link Outcome#isTooLarge}.
      */
-    public void watch(String prefix, long afterRevision, Duration wait, Consumer<Outcome> callback) {
+    public void watch(String prefix, Count afterRevision, Duration wait, Consumer<Outcome> callback) {
         String path = "/watch?under=" + prefix + "&from=" + afterRevision + "&block_ms=" + wait.toMillis();
         send(
                 HttpRequest.get(path, wait.plus(REQUEST_TIMEOUT)).withMaxResponseBytes(MAX_WATCH_RESPONSE_BYTES),
+                ResponseCounts.REVISION,
                 callback);
     }
 
     /** Requests a new lease. */
     public void grantLease(Duration duration, Consumer<Outcome> callback) {
         byte[] body = Cbor.encode(Cbor.map().put("life_ms", duration.toMillis()));
-        send(HttpRequest.post("/grants", body, REQUEST_TIMEOUT), callback);
+        send(HttpRequest.post("/grants", body, REQUEST_TIMEOUT), ResponseCounts.LEASE, callback);
     }
 
     /** Renews a lease, so that it expires one lease duration after the renewal. */
-    public void renewLease(long leaseId, Duration timeout, Consumer<Outcome> callback) {
-        send(HttpRequest.post("/grants/" + leaseId + "/renew", Cbor.encode(Cbor.map()), timeout), callback);
+    public void renewLease(Count leaseId, Duration timeout, Consumer<Outcome> callback) {
+        send(HttpRequest.post("/grants/" + leaseId + "/renew", Cbor.encode(Cbor.map()), timeout), null, callback);
     }
 
     /** Revokes a lease immediately, which also removes the keys that are held on it. */
-    public void revokeLease(long leaseId, Consumer<Outcome> callback) {
-        send(HttpRequest.delete("/grants/" + leaseId, REQUEST_TIMEOUT), callback);
+    public void revokeLease(Count leaseId, Consumer<Outcome> callback) {
+        send(HttpRequest.delete("/grants/" + leaseId, REQUEST_TIMEOUT), null, callback);
     }
 
     /**
      * Commits a transaction: applies the changes if all keys in {@code conditions} have their expected versions. If the
      * transaction cannot be encoded, the callback is called before this method returns.
      *
-     * @param versionOf returns the expected version of a key; 0 if the key must not exist
+     * @param versionOf returns the expected version of a key; zero if the key must not exist
      * @param changes new value of each key; null removes the key
      * @param leaseId ID of the lease on which the member key and the leader key are written, if they are among the
      *     changes; ignored otherwise
      */
     public void commit(
             Collection<String> conditions,
-            ToLongFunction<String> versionOf,
+            Function<String, Count> versionOf,
             Map<String, ? extends StoreRecord> changes,
-            long leaseId,
+            Count leaseId,
             Consumer<Outcome> callback) {
         byte[] body;
         try {
@@ -237,25 +252,27 @@
             callback.accept(Outcome.NOT_ENCODABLE);
             return;
         }
-        send(HttpRequest.post("/commit", body, REQUEST_TIMEOUT), callback);
+        send(HttpRequest.post("/commit", body, REQUEST_TIMEOUT), ResponseCounts.REVISION, callback);
     }
 
     private static byte[] encodeTransaction(
             Collection<String> conditions,
-            ToLongFunction<String> versionOf,
+            Function<String, Count> versionOf,
             Map<String, ? extends StoreRecord> changes,
-            long leaseId) {
+            Count leaseId) {
         ObjectNode transaction = Cbor.map();
         ArrayNode guards = transaction.putArray("guards");
         for (String key : conditions) {
-            guards.addObject().put("k", key).put("mark", versionOf.applyAsLong(key));
+            guards.addObject()
+                    .put("k", key)
+                    .set(ResponseCounts.VERSION, versionOf.apply(key).toNode());
         }
         ArrayNode then = transaction.putArray("then");
         changes.forEach((key, value) -> addChange(then.addObject(), key, value, leaseId));
         return Cbor.encode(transaction);
     }
 
-    private static void addChange(ObjectNode change, String key, StoreRecord value, long leaseId) {
+    private static void addChange(ObjectNode change, String key, StoreRecord value, Count leaseId) {
         if (value == null) {
             change.put("remove", key);
             return;
@@ -263,7 +280,7 @@
         change.put("put", key);
         change.set("v", RecordCodec.encode(value));
         if (isHeldOnLease(key)) {
-            change.put("tether", leaseId);
+            change.set(ResponseCounts.LEASE, leaseId.toNode());
         }
     }
 
@@ -271,9 +288,4 @@
     private static boolean isHeldOnLease(String key) {
         return key.startsWith(StoreKeys.MEMBERS) || key.equals(StoreKeys.LEADER);
     }
-
-    /** Returns the version of a key from a list item, a watch event, or the response to a read of the key. */
-    static long version(JsonNode item) {
-        return item.path("mark").asLong();
-    }
 }
--- a/src/main/java/org/gullway/storage/TransactionCommitter.java
+++ b/src/main/java/org/gullway/storage/TransactionCommitter.java
@@ -9,6 +9,7 @@
 import org.gullway.coordination.model.ClusterState;
 import org.gullway.coordination.model.StoreKeys;
 import org.gullway.coordination.model.Transaction;
+import org.gullway.protocol.Count;
 import org.gullway.storage.ReplicatedState.CommitResult;
 import org.gullway.transport.EventLoop;
 import org.slf4j.Logger;
@@ -38,10 +39,10 @@
     private record SentTransaction(
             Transaction transaction,
             Instant sentAt,
-            long leaseId,
+            Count leaseId,
             int membershipNumber,
-            long watchedRevision,
-            Map<String, Long> expectedVersions) {}
+            Count watchedRevision,
+            Map<String, Count> expectedVersions) {}
 
     TransactionCommitter(
             EventLoop loop,
@@ -79,7 +80,8 @@
         }
         // The cluster state must already contain the placements that an earlier incarnation of this controller, or an
         // earlier leader, has committed.
-        return clusterState.watchedRevision() >= Math.max(membershipLease.memberKeyRevision(), leaderRevision())
+        return clusterState.watchedRevision().isAtLeast(membershipLease.memberKeyRevision())
+                && clusterState.watchedRevision().isAtLeast(leaderRevision())
                 && watchStream.checkAwaitedRevision();
     }
 
@@ -88,8 +90,10 @@
         return inFlight ? Duration.between(inFlightSince, loop.now()) : Duration.ZERO;
     }
 
-    private long leaderRevision() {
-        return membershipLease.self().equals(clusterState.leader()) ? clusterState.version(StoreKeys.LEADER) : 0;
+    private Count leaderRevision() {
+        return membershipLease.self().equals(clusterState.leader())
+                ? clusterState.version(StoreKeys.LEADER)
+                : Count.ZERO;
     }
 
     /** See {@link ReplicatedState#commit}. */
@@ -107,7 +111,7 @@
     }
 
     private SentTransaction toSentTransaction(Transaction transaction) {
-        Map<String, Long> expectedVersions = new HashMap<>();
+        Map<String, Count> expectedVersions = new HashMap<>();
         transaction.conditions().forEach(key -> expectedVersions.put(key, clusterState.version(key)));
         return new SentTransaction(
                 transaction,
@@ -138,7 +142,7 @@
         }
     }
 
-    private void onCommitted(SentTransaction sent, long revision, Consumer<CommitResult> callback) {
+    private void onCommitted(SentTransaction sent, Count revision, Consumer<CommitResult> callback) {
         logCommitted(sent, revision);
         onOutcomeKnown(sent.membershipNumber());
         conflictHistory.clear();
@@ -148,7 +152,7 @@
         requestCycle.run();
     }
 
-    private void logCommitted(SentTransaction sent, long revision) {
+    private void logCommitted(SentTransaction sent, Count revision) {
         if (LOG.isDebugEnabled()) {
             LOG.debug(
                     "transaction committed revision={} elapsed_ms={} watched_revision={} keys={}",
@@ -166,7 +170,7 @@
         }
     }
 
-    private void onFenced(TransactionFence.Result result, int membershipNumber, long revision) {
+    private void onFenced(TransactionFence.Result result, int membershipNumber, Count revision) {
         switch (result) {
             case MEMBER_KEY_REWRITTEN -> {
                 onOutcomeKnown(membershipNumber);
@@ -197,13 +201,13 @@
         return Set.of();
     }
 
-    private void onConflict(SentTransaction sent, Set<String> failed, long revision) {
+    private void onConflict(SentTransaction sent, Set<String> failed, Count revision) {
         LOG.debug(
                 "transaction conditions failed revision={} watched_revision={} failed={}",
                 revision,
                 sent.watchedRevision(),
                 failed);
-        if (failed.contains(membershipLease.memberKey()) && sent.leaseId() == membershipLease.leaseId()) {
+        if (failed.contains(membershipLease.memberKey()) && sent.leaseId().equals(membershipLease.leaseId())) {
             membershipLease.join();
             return;
         }
@@ -224,7 +228,7 @@
     /**
      * Delays the next transaction until the watch has reached the revision or, if it already has, for a short pause.
      */
-    private void delayNextTransaction(long revision) {
+    private void delayNextTransaction(Count revision) {
         if (!watchStream.awaitRevision(revision)) {
             pacing.onConflict();
         }
--- a/src/main/java/org/gullway/storage/TransactionFence.java
+++ b/src/main/java/org/gullway/storage/TransactionFence.java
@@ -3,6 +3,7 @@
 import java.util.Map;
 import java.util.Set;
 import org.gullway.coordination.model.ClusterState;
+import org.gullway.protocol.Count;
 import org.gullway.transport.EventLoop;
 
 /**
@@ -35,9 +36,9 @@
          * no longer current.
          *
          * @param membershipNumber number of the membership whose transactions were fenced
-         * @param revision revision at which the member key was rewritten; 0 if it was not
+         * @param revision revision at which the member key was rewritten; zero if it was not
          */
-        void onFenced(Result result, int membershipNumber, long revision);
+        void onFenced(Result result, int membershipNumber, Count revision);
     }
 
     private final EventLoop loop;
@@ -55,7 +56,7 @@
 
     /** Fences all transactions that this controller sent earlier in its current membership. */
     void fence(Callback callback) {
-        long leaseId = membershipLease.leaseId();
+        Count leaseId = membershipLease.leaseId();
         int membershipNumber = membershipLease.membershipNumber();
         String memberKey = membershipLease.memberKey();
         store.commit(
@@ -66,15 +67,15 @@
                 outcome -> onOutcome(outcome, leaseId, membershipNumber, callback));
     }
 
-    private void onOutcome(StateStoreClient.Outcome outcome, long leaseId, int membershipNumber, Callback callback) {
+    private void onOutcome(StateStoreClient.Outcome outcome, Count leaseId, int membershipNumber, Callback callback) {
         if (outcome.isOkWithBody()) {
             membershipLease.onMemberKeyWritten(outcome.revision());
             callback.onFenced(Result.MEMBER_KEY_REWRITTEN, membershipNumber, outcome.revision());
         } else if (outcome.isConflict() || outcome.isBadRequest()) {
             // Either the membership has ended, or an earlier attempt at this write was applied without a response.
-            callback.onFenced(Result.MEMBERSHIP_ENDED, membershipNumber, 0);
+            callback.onFenced(Result.MEMBERSHIP_ENDED, membershipNumber, Count.ZERO);
             // A response that arrives after this controller has joined again does not concern its current membership.
-            if (leaseId == membershipLease.leaseId()) {
+            if (leaseId.equals(membershipLease.leaseId())) {
                 membershipLease.join();
             }
         } else {
@@ -82,11 +83,11 @@
         }
     }
 
-    private void retry(long leaseId, int membershipNumber, Callback callback) {
+    private void retry(Count leaseId, int membershipNumber, Callback callback) {
         if (membershipLease.isCurrentLease(leaseId)) {
             fence(callback);
         } else {
-            callback.onFenced(Result.LEASE_NOT_CURRENT, membershipNumber, 0);
+            callback.onFenced(Result.LEASE_NOT_CURRENT, membershipNumber, Count.ZERO);
         }
     }
 }
--- a/src/main/java/org/gullway/storage/VersionCheckResult.java
+++ b/src/main/java/org/gullway/storage/VersionCheckResult.java
@@ -1,6 +1,7 @@
 package org.gullway.storage;
 
 import java.util.Set;
+import org.gullway.protocol.Count;
 
 /**
  * Result of a version check: a linearizable comparison of key versions in the cluster state with those in the state
@@ -9,7 +10,7 @@
  * @param staleKeys keys whose version in the cluster state is not the current one; empty if no versions were compared
  * @param revision revision of the state store at which the versions were compared; 0 if no versions were compared
  */
-public record VersionCheckResult(Kind kind, Set<String> staleKeys, long revision) {
+public record VersionCheckResult(Kind kind, Set<String> staleKeys, Count revision) {
     /** Whether the versions were compared, and if not, why. */
     public enum Kind {
         /** The versions were compared; {@code staleKeys} contains the keys whose versions differ. */
@@ -27,6 +28,6 @@
         if (outcome.isConflict()) {
             return new VersionCheckResult(Kind.COMPARED, outcome.failedConditions(), outcome.revision());
         }
-        return new VersionCheckResult(outcome.isRateLimited() ? Kind.BUSY : Kind.FAILED, Set.of(), 0);
+        return new VersionCheckResult(outcome.isRateLimited() ? Kind.BUSY : Kind.FAILED, Set.of(), Count.ZERO);
     }
 }
--- a/src/main/java/org/gullway/storage/VersionChecker.java
+++ b/src/main/java/org/gullway/storage/VersionChecker.java
@@ -5,6 +5,7 @@
 import java.util.Set;
 import java.util.function.Consumer;
 import org.gullway.coordination.model.ClusterState;
+import org.gullway.protocol.Count;
 import org.gullway.transport.TokenBucket;
 
 /**
@@ -26,7 +27,11 @@
     void checkVersions(Set<String> keys, Consumer<VersionCheckResult> callback) {
         requestLimit.consume(1);
         store.commit(
-                keys, clusterState::version, Map.of(), 0, outcome -> callback.accept(VersionCheckResult.of(outcome)));
+                keys,
+                clusterState::version,
+                Map.of(),
+                Count.ZERO,
+                outcome -> callback.accept(VersionCheckResult.of(outcome)));
     }
 
     /** See {@link ReplicatedState#versionCheckDelay}. */
--- a/src/main/java/org/gullway/storage/WatchStream.java
+++ b/src/main/java/org/gullway/storage/WatchStream.java
@@ -7,6 +7,7 @@
 import org.gullway.coordination.model.ClusterState;
 import org.gullway.coordination.model.StoreKeys;
 import org.gullway.coordination.model.StoreRecord;
+import org.gullway.protocol.Count;
 import org.gullway.protocol.MalformedMessageException;
 import org.gullway.transport.EventLoop;
 import org.gullway.transport.TokenBucket;
@@ -38,8 +39,8 @@
     private Instant knownThrough = Instant.MIN;
     /** Number of the latest full read. Responses that belong to an earlier full read are ignored. */
     private long generation;
-    /** Revision that the watch must reach before the next transaction is sent; 0 if there is none. */
-    private long awaitedRevision;
+    /** Revision that the watch must reach before the next transaction is sent; null if there is none. */
+    private Count awaitedRevision;
 
     private Instant awaitedSince;
 
@@ -79,8 +80,8 @@
      * has been started because the watch is late. Has no effect and returns false if the watch has already reached the
      * revision.
      */
-    boolean awaitRevision(long revision) {
-        if (clusterState.watchedRevision() >= revision) {
+    boolean awaitRevision(Count revision) {
+        if (clusterState.watchedRevision().isAtLeast(revision)) {
             return false;
         }
         awaitedRevision = revision;
@@ -93,8 +94,8 @@
      * it within {@link #MAX_REVISION_WAIT}, this method starts a full read and the revision is no longer awaited.
      */
     boolean checkAwaitedRevision() {
-        if (clusterState.watchedRevision() >= awaitedRevision) {
-            awaitedRevision = 0;
+        if (awaitedRevision == null || clusterState.watchedRevision().isAtLeast(awaitedRevision)) {
+            awaitedRevision = null;
             return true;
         }
         if (awaitedSince.plus(MAX_REVISION_WAIT).isBefore(loop.now())) {
@@ -104,7 +105,7 @@
                     awaitedRevision,
                     clusterState.watchedRevision(),
                     Duration.between(awaitedSince, loop.now()).toMillis());
-            awaitedRevision = 0;
+            awaitedRevision = null;
             readAll();
         }
         return false;
@@ -121,7 +122,7 @@
         Instant sentAt = loop.now();
         FullRead.Callback callback = new FullRead.Callback() {
             @Override
-            public void onComplete(Map<String, JsonNode> items, long revision) {
+            public void onComplete(Map<String, JsonNode> items, Count revision) {
                 runOrRetry(
                         readGeneration,
                         () -> onFullRead(readGeneration, sentAt, items, revision),
@@ -136,7 +137,7 @@
         new FullRead(store, () -> isCurrent(readGeneration), callback).start();
     }
 
-    private void onFullRead(long readGeneration, Instant sentAt, Map<String, JsonNode> items, long revision) {
+    private void onFullRead(long readGeneration, Instant sentAt, Map<String, JsonNode> items, Count revision) {
         clusterState.clear();
         items.forEach(this::putOrIgnore);
         clusterState.onFullRead(revision);
@@ -180,16 +181,16 @@
         try {
             StoreRecord value = RecordCodec.decode(key, item.path("v"));
             if (value != null) {
-                clusterState.put(key, value, StateStoreClient.version(item));
+                clusterState.put(key, value, ResponseCounts.version(item));
             }
         } catch (MalformedMessageException e) {
-            LOG.error("ignored malformed record and kept any previous value error=\"{}\"", e.getMessage());
+            LOG.error("ignored malformed record and kept any previous value key={} error=\"{}\"", key, e.getMessage());
         } catch (RuntimeException e) {
             LOG.error("ignored a record that could not be put into the cluster state key={}", key, e);
         }
     }
 
-    private void watch(long readGeneration, long afterRevision) {
+    private void watch(long readGeneration, Count afterRevision) {
         Instant sentAt = loop.now();
         store.watch(StoreKeys.LIVE, afterRevision, watchWait, outcome -> {
             if (!isCurrent(readGeneration)) {
@@ -213,16 +214,22 @@
     }
 
     private void onWatchResponse(
-            long readGeneration, Instant sentAt, long afterRevision, StateStoreClient.Outcome outcome) {
+            long readGeneration, Instant sentAt, Count afterRevision, StateStoreClient.Outcome outcome) {
+        JsonNode events = outcome.body().path("events");
+        if (!haveValidVersions(events)) {
+            // The next watch would not return these changes again, so that this controller would never learn of them.
+            retry(readGeneration, this::readAll);
+            return;
+        }
         boolean changed = false;
-        for (JsonNode event : outcome.body().path("events")) {
+        for (JsonNode event : events) {
             changed |= applyOrIgnore(event);
         }
-        long revision = Math.max(afterRevision, outcome.revision());
+        Count revision = Count.max(afterRevision, outcome.revision());
         clusterState.advanceTo(revision);
         lastResponseAt = loop.now();
         knownThrough = sentAt;
-        if (changed || awaitedRevision > 0) {
+        if (changed || awaitedRevision != null) {
             requestCycle.run();
         }
         // The store answers immediately while there are changes; a short pause before the next watch collects several
@@ -237,6 +244,21 @@
         }
     }
 
+    private static boolean haveValidVersions(JsonNode events) {
+        for (JsonNode event : events) {
+            try {
+                ResponseCounts.version(event);
+            } catch (MalformedMessageException e) {
+                LOG.error(
+                        "a watch returned a change with an invalid version; starting a full read key={} error=\"{}\"",
+                        event.path(event.has("remove") ? "remove" : "put").asText(),
+                        e.getMessage());
+                return false;
+            }
+        }
+        return true;
+    }
+
     private boolean applyOrIgnore(JsonNode event) {
         String removedKey = event.path("remove").asText(null);
         if (removedKey == null) {
@@ -244,8 +266,8 @@
             return true;
         }
         try {
-            return clusterState.remove(removedKey, StateStoreClient.version(event));
-        } catch (RuntimeException e) {
+            return clusterState.remove(removedKey, ResponseCounts.version(event));
+        } catch (MalformedMessageException | RuntimeException e) {
             LOG.error("ignored a removal that could not be applied key={}", removedKey, e);
             return true;
         }
--- a/src/test/java/org/gullway/SimulatedCluster.java
+++ b/src/test/java/org/gullway/SimulatedCluster.java
@@ -44,6 +44,7 @@
     final ResponseLog responses = new ResponseLog(time);
     final List<String> violations;
     private final SimulatedTime.SimulatedProcess loop = time.newProcess();
+    private Consumer<FakeAgent> bootListener = agent -> {};
     private final SimulatedControllers controllers;
     private final TestUsers users;
     private final SimulatedJobs jobs;
@@ -107,11 +108,17 @@
                 new FakeAgent.Machine(name, address, kind),
                 controllers.addresses(),
                 new FakeAgent.Timing(setup.heartbeatInterval(), AGENT_LEASE));
+        bootListener.accept(agent);
         network.listen(address, loop, agent::handle);
         invariants.onMachineUp(name, kind);
         return agent;
     }
 
+    /** Sets the listener that is given each agent of a new machine before it sends its first heartbeat. */
+    void onBoot(Consumer<FakeAgent> listener) {
+        bootListener = listener;
+    }
+
     private boolean isUp(String machine) {
         FakeAgent agent = cloud.agent(machine);
         return agent != null && agent.alive() && !agent.hung();
--- a/src/test/java/org/gullway/StartAuthorizationTest.java
+++ b/src/test/java/org/gullway/StartAuthorizationTest.java
@@ -21,6 +21,7 @@
 import org.gullway.observability.InvariantMonitor;
 import org.gullway.observability.Metrics;
 import org.gullway.protocol.AgentCommand;
+import org.gullway.protocol.Count;
 import org.gullway.protocol.Priority;
 import org.gullway.protocol.TaskId;
 import org.gullway.transport.HttpRequest;
@@ -32,8 +33,8 @@
  */
 class StartAuthorizationTest {
     private static final TaskId TASK = new TaskId("run-000001", 0);
-    private static final AgentCommand START = AgentCommand.start(TASK, 1);
-    private static final AgentCommand STOP = AgentCommand.stop(new TaskId("run-000002", 0), 1, Duration.ZERO);
+    private static final AgentCommand START = AgentCommand.start(TASK, Count.ONE);
+    private static final AgentCommand STOP = AgentCommand.stop(new TaskId("run-000002", 0), Count.ONE, Duration.ZERO);
 
     private final ClusterState clusterState = TestFixtures.clusterState();
     private final SimulatedTime.SimulatedProcess loop = new SimulatedTime().newProcess();
@@ -73,18 +74,23 @@
         clusterState.put(
                 StoreKeys.job(TASK.job()),
                 change.apply(TestFixtures.placed(job, TestFixtures.WALL_CLOCK_TIME, "vm-1")),
-                version);
-        clusterState.advanceTo(version);
+                Count.of(version));
+        clusterState.advanceTo(Count.of(version));
     }
 
     private void send(long fencingToken, long agentEpoch, AgentCommand start) {
         sender.send(new CommandBatch(
-                "vm-1", "10.1.0.1:9000", fencingToken, agentEpoch, List.of(start, STOP), Instant.EPOCH));
+                "vm-1",
+                "10.1.0.1:9000",
+                Count.of(fencingToken),
+                Count.of(agentEpoch),
+                List.of(start, STOP),
+                Instant.EPOCH));
     }
 
     /** Checks that one batch was sent, with the stop command, and with the start command only if {@code included}. */
     private void assertBatchIncludesStart(boolean included) {
-        byte[] body = AgentCommand.encodeDirect(1, 1, included ? List.of(START, STOP) : List.of(STOP));
+        byte[] body = AgentCommand.encodeDirect(Count.ONE, Count.ONE, included ? List.of(START, STOP) : List.of(STOP));
         assertThat(sent).singleElement().satisfies(request -> assertThat(request.body())
                 .isEqualTo(body));
     }
@@ -106,7 +112,7 @@
 
     @Test
     void omitsAStartOfAJobThatIsNotOnRecord() {
-        clusterState.remove(StoreKeys.job(TASK.job()), 12);
+        clusterState.remove(StoreKeys.job(TASK.job()), Count.of(12));
         send(1, 1, START);
         assertBatchIncludesStart(false);
         assertThat(violations).singleElement().asString().contains("the job is not on record");
@@ -126,7 +132,7 @@
 
     @Test
     void omitsAStartOfAnAttemptThatIsNotOnRecord() {
-        send(1, 1, AgentCommand.start(TASK, 2));
+        send(1, 1, AgentCommand.start(TASK, Count.of(2)));
         assertBatchIncludesStart(false);
         assertThat(violations)
                 .singleElement()
--- a/src/test/java/org/gullway/agent/CommandSenderTest.java
+++ b/src/test/java/org/gullway/agent/CommandSenderTest.java
@@ -15,6 +15,7 @@
 import org.gullway.fake.SimulatedTime;
 import org.gullway.observability.InvariantMonitor;
 import org.gullway.observability.Metrics;
+import org.gullway.protocol.Count;
 import org.gullway.protocol.PeerCancellations.CancelledAttempt;
 import org.gullway.protocol.PeerCancellations.CancelledJob;
 import org.gullway.transport.HttpResponse;
@@ -53,12 +54,12 @@
     private void addMachine(String name, String address, long version) {
         TestFixtures.put(
                 clusterState,
-                TestFixtures.machine(name, "large", TestFixtures.SELF).withAgentEpoch(1, address),
+                TestFixtures.machine(name, "large", TestFixtures.SELF).withAgentEpoch(Count.ONE, address),
                 version);
     }
 
     private void addCancellation(String job, String machine) {
-        CancelledAttempt attempt = new CancelledAttempt(0, 1, machine, 1);
+        CancelledAttempt attempt = new CancelledAttempt(0, Count.ONE, machine, Count.ONE);
         long cancelledAt = TestFixtures.WALL_CLOCK_TIME.toEpochMilli();
         cancellationEnforcer.add(new CancelledJob(job, cancelledAt, List.of(attempt)), loop.now());
     }
--- a/src/test/java/org/gullway/api/GoldenResponsesTest.java
+++ b/src/test/java/org/gullway/api/GoldenResponsesTest.java
@@ -1,6 +1,7 @@
 package org.gullway.api;
 
 import org.gullway.golden.GoldenFile;
+import org.gullway.protocol.ErrorMessage;
 import org.gullway.protocol.JobState;
 import org.gullway.protocol.JobStatus;
 import org.junit.jupiter.api.Test;
@@ -15,6 +16,6 @@
             GOLDEN.check(
                     "state-" + state.wireName(), UserResponses.encodeState(new JobStatus("run-000412", state, 3, 2)));
         }
-        GOLDEN.check("error", UserResponses.encodeError("herd is missing"));
+        GOLDEN.check("error", ErrorMessage.encode("herd is missing"));
     }
 }
--- a/src/test/java/org/gullway/api/LinearizableResponsesTest.java
+++ b/src/test/java/org/gullway/api/LinearizableResponsesTest.java
@@ -20,6 +20,7 @@
 import org.gullway.fake.SimulatedNetwork;
 import org.gullway.fake.SimulatedTime;
 import org.gullway.protocol.Cbor;
+import org.gullway.protocol.Count;
 import org.gullway.protocol.JobState;
 import org.gullway.protocol.JobStatus;
 import org.gullway.transport.HttpResponse;
@@ -82,7 +83,7 @@
     }
 
     private static StateFreshness freshness(Instant notOlderThan) {
-        return new StateFreshness(StateFreshness.Source.VERSION_CHECK, 7, notOlderThan);
+        return new StateFreshness(StateFreshness.Source.VERSION_CHECK, Count.of(7), notOlderThan);
     }
 
     private static JobLookupResult found(Instant notOlderThan) {
--- a/src/test/java/org/gullway/controller/SchedulingCycleTest.java
+++ b/src/test/java/org/gullway/controller/SchedulingCycleTest.java
@@ -21,6 +21,7 @@
 import org.gullway.fake.SimulatedNetwork;
 import org.gullway.fake.SimulatedTime;
 import org.gullway.observability.Metrics;
+import org.gullway.protocol.Count;
 import org.gullway.protocol.OperatorSettings;
 import org.gullway.protocol.Settings;
 import org.gullway.storage.ReplicatedState;
@@ -138,6 +139,6 @@
         assertThat(store.value(StoreKeys.job("run-000002"))).isNull();
         assertThat(clusterState.fencingToken())
                 .as("transactions of the last step in 20 s")
-                .isGreaterThan(10);
+                .isGreaterThan(Count.of(10));
     }
 }
--- a/src/test/java/org/gullway/coordination/agents/AgentReconcilerFixture.java
+++ b/src/test/java/org/gullway/coordination/agents/AgentReconcilerFixture.java
@@ -11,6 +11,7 @@
 import org.gullway.coordination.model.StoreKeys;
 import org.gullway.coordination.model.TestFixtures;
 import org.gullway.coordination.model.Transaction;
+import org.gullway.protocol.Count;
 import org.gullway.protocol.Heartbeat;
 import org.gullway.protocol.JobRequest;
 import org.gullway.protocol.TaskId;
@@ -46,9 +47,9 @@
                 "large",
                 "a",
                 true,
-                agentEpoch,
-                ++sequence,
-                fencingToken,
+                Count.of(agentEpoch),
+                Count.of(++sequence),
+                Count.of(fencingToken),
                 notice,
                 List.of(tasks));
     }
@@ -71,13 +72,13 @@
         clusterState.put(
                 StoreKeys.job(request.id()),
                 TestFixtures.placed(accepted, TestFixtures.WALL_CLOCK_TIME, machines),
-                ++revision);
-        clusterState.advanceTo(revision);
+                Count.of(++revision));
+        clusterState.advanceTo(Count.of(revision));
     }
 
     /** Records the cancellation of a job without advancing the watch. */
     void cancel(String job, Instant at) {
-        clusterState.put(StoreKeys.job(job), clusterState.job(job).withCancellation(at), ++revision);
+        clusterState.put(StoreKeys.job(job), clusterState.job(job).withCancellation(at), Count.of(++revision));
     }
 
     MachineLifecycle lifecycle(String machine) {
@@ -86,16 +87,38 @@
 
     void sendHeartbeatWithoutTasks(String machine) {
         reconciler.onHeartbeat(
-                new Heartbeat(machine, "10.1.0.1:9000", "large", "a", true, 1, ++sequence, 1, null, List.of()), now);
+                new Heartbeat(
+                        machine,
+                        "10.1.0.1:9000",
+                        "large",
+                        "a",
+                        true,
+                        Count.ONE,
+                        Count.of(++sequence),
+                        Count.ONE,
+                        null,
+                        List.of()),
+                now);
     }
 
     /** Sends a heartbeat that lists a failed attempt of this task of each job. */
     void failTasks(String machine, int task, String... jobs) {
         List<TaskStatus> tasks = Stream.of(jobs)
-                .map(job -> new TaskStatus(new TaskId(job, task), task + 1, Phase.ENDED, Cause.ERROR, false))
+                .map(job -> new TaskStatus(new TaskId(job, task), Count.of(task + 1), Phase.ENDED, Cause.ERROR, false))
                 .toList();
         reconciler.onHeartbeat(
-                new Heartbeat(machine, "10.1.0.1:9000", "large", "a", true, 1, ++sequence, 1, null, tasks), now);
+                new Heartbeat(
+                        machine,
+                        "10.1.0.1:9000",
+                        "large",
+                        "a",
+                        true,
+                        Count.ONE,
+                        Count.of(++sequence),
+                        Count.ONE,
+                        null,
+                        tasks),
+                now);
         reconciler.commandsDue(now);
     }
 }
--- a/src/test/java/org/gullway/coordination/agents/CommandDispatcherTest.java
+++ b/src/test/java/org/gullway/coordination/agents/CommandDispatcherTest.java
@@ -6,6 +6,7 @@
 import org.gullway.coordination.command.CommandOutcome;
 import org.gullway.coordination.model.MachineRecord;
 import org.gullway.coordination.model.TestFixtures;
+import org.gullway.protocol.Count;
 import org.gullway.protocol.Priority;
 import org.gullway.protocol.TaskStatus;
 import org.gullway.protocol.TaskStatus.Phase;
@@ -17,12 +18,13 @@
     void recordsAnAgentEpochBeforeStartingTasksInIt() {
         TestFixtures.put(
                 clusterState,
-                MachineRecord.booting("vm-1", "large", "a", true, TestFixtures.WALL_CLOCK_TIME, TestFixtures.SELF, 1),
+                MachineRecord.booting(
+                        "vm-1", "large", "a", true, TestFixtures.WALL_CLOCK_TIME, TestFixtures.SELF, Count.ONE),
                 10);
         assertThat(reconciler.onHeartbeat(heartbeat(1, 0, null), now)).isInstanceOf(HeartbeatResponse.Accepted.class);
         assertThat(reconciler.commandsDue(now)).isEmpty();
         planAndCommit();
-        assertThat(clusterState.machine("vm-1").agentEpoch()).isEqualTo(1);
+        assertThat(clusterState.machine("vm-1").agentEpoch()).isEqualTo(Count.of(1));
         place(TestFixtures.request("run-000001", "red", Priority.NORMAL, 1, 4), "vm-1");
         assertThat(reconciler.commandsDue(now)).singleElement().satisfies(batch -> {
             assertThat(batch.commands())
@@ -33,7 +35,7 @@
         });
         assertThat(reconciler.commandsDue(now)).singleElement().satisfies(batch -> {
             assertThat(batch.hasStarts()).isTrue();
-            assertThat(batch.fencingToken()).isEqualTo(1);
+            assertThat(batch.fencingToken()).isEqualTo(Count.of(1));
         });
     }
 
@@ -44,7 +46,8 @@
         reconciler.onHeartbeat(heartbeat(2, 1, null), now);
         for (int i = 0; i < 20; i++) {
             now = now.plusMillis(50);
-            reconciler.onHeartbeat(heartbeat(2, 1, null, new TaskStatus(TASK, i, Phase.RUNNING, null, false)), now);
+            reconciler.onHeartbeat(
+                    heartbeat(2, 1, null, new TaskStatus(TASK, Count.of(i), Phase.RUNNING, null, false)), now);
             assertThat(reconciler.commandsDue(now)).isEmpty();
         }
     }
@@ -61,7 +64,7 @@
         CommandBatch start = reconciler.commandsDue(now).get(0);
         reconciler.onCommandOutcome(start, CommandOutcome.UNKNOWN, now);
         planAndCommit();
-        assertThat(clusterState.fencingToken()).isEqualTo(2);
+        assertThat(clusterState.fencingToken()).isEqualTo(Count.of(2));
         now = now.plusSeconds(1);
         assertThat(reconciler.commandsDue(now)).singleElement().satisfies(batch -> assertThat(batch.commands())
                 .isEmpty());
--- a/src/test/java/org/gullway/coordination/agents/FailureDetectorTest.java
+++ b/src/test/java/org/gullway/coordination/agents/FailureDetectorTest.java
@@ -13,6 +13,7 @@
 import org.gullway.coordination.model.StoreKeys;
 import org.gullway.coordination.model.TestFixtures;
 import org.gullway.coordination.model.Transaction;
+import org.gullway.protocol.Count;
 import org.gullway.protocol.Heartbeat;
 import org.gullway.protocol.JobRequest;
 import org.gullway.protocol.Priority;
@@ -46,8 +47,8 @@
                         zone,
                         false,
                         TestFixtures.SELF,
-                        1,
-                        1,
+                        Count.ONE,
+                        Count.ONE,
                         MachineLifecycle.ACTIVE,
                         machine.provisionedAt()),
                 ++revision);
@@ -140,7 +141,7 @@
 
     @Test
     void aZoneWhoseControllerIsAMemberIsNotPartitioned() {
-        clusterState.put(StoreKeys.member("perch-2"), new Incarnation("perch-2", 5), ++revision);
+        clusterState.put(StoreKeys.member("perch-2"), new Incarnation("perch-2", 5), Count.of(++revision));
         addMachine("vm-1", "a");
         addMachine("vm-3", "b");
         advanceSeconds(14, "vm-1");
@@ -161,7 +162,7 @@
                                 TestFixtures.WALL_CLOCK_TIME,
                                 "vm-3")
                         .withCancellation(TestFixtures.WALL_CLOCK_TIME),
-                ++revision);
+                Count.of(++revision));
         advanceSeconds(14, "vm-1");
         assertThat(lifecycle("vm-2")).isEqualTo(MachineLifecycle.UNRESPONSIVE);
         assertThat(lifecycle("vm-3")).isEqualTo(MachineLifecycle.LOST);
@@ -206,7 +207,18 @@
                 .isEqualTo(MachineLifecycle.UNRESPONSIVE);
         agents.find("vm-2")
                 .onHeartbeat(
-                        new Heartbeat("vm-2", "10.1.0.1:9000", "large", "a", false, 1, 1, 1, null, List.of()), now);
+                        new Heartbeat(
+                                "vm-2",
+                                "10.1.0.1:9000",
+                                "large",
+                                "a",
+                                false,
+                                Count.ONE,
+                                Count.ONE,
+                                Count.ONE,
+                                null,
+                                List.of()),
+                        now);
         advanceSeconds(1, "vm-1");
         assertThat(lifecycle("vm-2"))
                 .as("an old duplicate of a heartbeat does not show that heartbeats arrive")
@@ -217,6 +229,16 @@
     }
 
     private Heartbeat heartbeat(String name, long agentEpoch) {
-        return new Heartbeat(name, "10.1.0.1:9000", "large", "a", false, agentEpoch, ++sequence, 1, null, List.of());
+        return new Heartbeat(
+                name,
+                "10.1.0.1:9000",
+                "large",
+                "a",
+                false,
+                Count.of(agentEpoch),
+                Count.of(++sequence),
+                Count.ONE,
+                null,
+                List.of());
     }
 }
--- a/src/test/java/org/gullway/coordination/agents/HeartbeatReceiverTest.java
+++ b/src/test/java/org/gullway/coordination/agents/HeartbeatReceiverTest.java
@@ -8,6 +8,7 @@
 import org.gullway.coordination.model.StoreKeys;
 import org.gullway.coordination.model.TestFixtures;
 import org.gullway.protocol.AgentCommand;
+import org.gullway.protocol.Count;
 import org.gullway.protocol.Heartbeat;
 import org.gullway.protocol.JobRequest;
 import org.gullway.protocol.Priority;
@@ -31,7 +32,7 @@
     @Test
     void aHeartbeatAloneDoesNotPutAMachineOnRecord() {
         assertThat(reconciler.onHeartbeat(heartbeat(1, 1, null), now))
-                .isEqualTo(new HeartbeatResponse.Accepted(1, List.of(), false));
+                .isEqualTo(new HeartbeatResponse.Accepted(Count.ONE, List.of(), false));
         assertThat(planAndCommit().isEmpty()).isTrue();
         assertThat(reconciler.schedulableMachines(now)).isEmpty();
     }
@@ -44,14 +45,14 @@
         now = now.plusSeconds(5);
         assertThat(reconciler.onHeartbeat(heartbeat(1, 1, null), now))
                 .as("its lease is renewed until the shard is taken over")
-                .isEqualTo(new HeartbeatResponse.Accepted(1, List.of(), true));
+                .isEqualTo(new HeartbeatResponse.Accepted(Count.ONE, List.of(), true));
         now = now.plusSeconds(3);
         assertThat(reconciler.onHeartbeat(heartbeat(1, 1, null), now))
                 .as("the agent must not stay with a controller that does not command its machine")
                 .isEqualTo(new HeartbeatResponse.Redirect("perch-1"));
         planAndCommit();
-        assertThat(clusterState.fencingToken()).isEqualTo(2);
-        assertThat(clusterState.machine("vm-1").fencingToken()).isEqualTo(2);
+        assertThat(clusterState.fencingToken()).isEqualTo(Count.of(2));
+        assertThat(clusterState.machine("vm-1").fencingToken()).isEqualTo(Count.of(2));
         assertThat(clusterState.machine("vm-1").controller()).isEqualTo(TestFixtures.SELF);
     }
 
@@ -59,21 +60,22 @@
     @Test
     void anAgentMayForgetAStoppedAttemptOnlyUnderAHigherFencingToken() {
         TestFixtures.put(clusterState, TestFixtures.machine("vm-1", "large", TestFixtures.SELF), 10);
-        TaskStatus ended = new TaskStatus(TASK, 1, Phase.ENDED, Cause.STOPPED, false);
-        TaskStatus done = new TaskStatus(new TaskId("run-000002", 0), 1, Phase.ENDED, Cause.DONE, false);
+        TaskStatus ended = new TaskStatus(TASK, Count.ONE, Phase.ENDED, Cause.STOPPED, false);
+        TaskStatus done = new TaskStatus(new TaskId("run-000002", 0), Count.ONE, Phase.ENDED, Cause.DONE, false);
         reconciler.onHeartbeat(heartbeat(1, 1, null, ended, done), now);
         assertThat(acceptedCommands(heartbeat(1, 1, null, ended, done)))
-                .containsExactly(AgentCommand.forget(done.task(), 1));
-        clusterState.put(StoreKeys.FENCING_TOKEN, new FencingToken(2), ++revision);
-        assertThat(acceptedCommands(heartbeat(1, 2, null, ended))).containsExactly(AgentCommand.forget(TASK, 1));
+                .containsExactly(AgentCommand.forget(done.task(), Count.ONE));
+        clusterState.put(StoreKeys.FENCING_TOKEN, new FencingToken(Count.of(2)), Count.of(++revision));
+        assertThat(acceptedCommands(heartbeat(1, 2, null, ended)))
+                .containsExactly(AgentCommand.forget(TASK, Count.ONE));
     }
 
     @Test
     void anOlderHeartbeatChangesNothing() {
         TestFixtures.put(clusterState, TestFixtures.machine("vm-1", "large", TestFixtures.SELF), 10);
         place(TestFixtures.request("run-000001", "red", Priority.NORMAL, 2, 4), "vm-1");
-        Heartbeat older = heartbeat(1, 1, null, new TaskStatus(TASK, 1, Phase.ENDED, Cause.ERROR, false));
-        reconciler.onHeartbeat(heartbeat(1, 1, null, new TaskStatus(TASK, 1, Phase.RUNNING, null, false)), now);
+        Heartbeat older = heartbeat(1, 1, null, new TaskStatus(TASK, Count.ONE, Phase.ENDED, Cause.ERROR, false));
+        reconciler.onHeartbeat(heartbeat(1, 1, null, new TaskStatus(TASK, Count.ONE, Phase.RUNNING, null, false)), now);
         reconciler.onHeartbeat(older, now);
         planAndCommit();
         assertThat(clusterState.job("run-000001").livePlacements()).hasSize(1);
@@ -86,16 +88,16 @@
         TestFixtures.put(clusterState, TestFixtures.machine("vm-1", "large", TestFixtures.SELF), 10);
         place(request, "vm-1");
         cancel(request.id(), TestFixtures.WALL_CLOCK_TIME);
-        clusterState.advanceTo(revision);
-        AgentCommand stop = AgentCommand.stop(TASK, 1, Duration.ZERO);
-        TaskStatus running = new TaskStatus(TASK, 1, Phase.RUNNING, null, false);
+        clusterState.advanceTo(Count.of(revision));
+        AgentCommand stop = AgentCommand.stop(TASK, Count.ONE, Duration.ZERO);
+        TaskStatus running = new TaskStatus(TASK, Count.ONE, Phase.RUNNING, null, false);
         assertThat(acceptedCommands(heartbeat(1, 1, null, running))).contains(stop);
         TestFixtures.put(clusterState, TestFixtures.machine("vm-1", "large", TestFixtures.PEER), ++revision);
         reconciler.onHeartbeat(heartbeat(1, 1, null, running), now);
         assertThat(acceptedCommands(heartbeat(1, 1, null, running)))
                 .as("an agent that cannot reach the controller of its machine")
                 .contains(stop);
-        clusterState.remove(StoreKeys.shard("g-vm-1"), ++revision);
+        clusterState.remove(StoreKeys.shard("g-vm-1"), Count.of(++revision));
         assertThat(acceptedCommands(heartbeat(1, 1, null, running)))
                 .as("a machine that is not on record")
                 .contains(stop);
--- a/src/test/java/org/gullway/coordination/agents/ListedAttemptsTest.java
+++ b/src/test/java/org/gullway/coordination/agents/ListedAttemptsTest.java
@@ -10,6 +10,7 @@
 import org.gullway.coordination.model.Placement;
 import org.gullway.coordination.model.TestFixtures;
 import org.gullway.protocol.AgentCommand;
+import org.gullway.protocol.Count;
 import org.gullway.protocol.JobRequest;
 import org.gullway.protocol.MessageLimits;
 import org.gullway.protocol.Priority;
@@ -34,7 +35,7 @@
     private static TaskStatus[] endedAttempts(String id, int count) {
         TaskStatus[] attempts = new TaskStatus[count];
         for (int i = 0; i < count; i++) {
-            attempts[i] = new TaskStatus(new TaskId(id, i), i + 1, Phase.ENDED, Cause.STOPPED, false);
+            attempts[i] = new TaskStatus(new TaskId(id, i), Count.of(i + 1), Phase.ENDED, Cause.STOPPED, false);
         }
         return attempts;
     }
@@ -76,7 +77,7 @@
             reconciler.onCommandOutcome(batch, CommandOutcome.NOT_SENT, now);
         });
         planAndCommit();
-        assertThat(clusterState.fencingToken()).as("fencing token").isEqualTo(2);
+        assertThat(clusterState.fencingToken()).as("fencing token").isEqualTo(Count.of(2));
         assertThat(clusterState.placementsOn("vm-1").values()).noneMatch(Placement::stopping);
         now = now.plusSeconds(1);
         reconciler.onHeartbeat(heartbeat(1, 2, null, endedAttempts("run-000009", LIMIT - 5)), now);
@@ -94,7 +95,7 @@
         placeOnOneMachine("run-000001", tasks);
         TaskStatus[] running = new TaskStatus[tasks];
         for (int i = 0; i < tasks; i++) {
-            running[i] = new TaskStatus(new TaskId("run-000001", i), i + 1, Phase.RUNNING, null, false);
+            running[i] = new TaskStatus(new TaskId("run-000001", i), Count.of(i + 1), Phase.RUNNING, null, false);
         }
         reconciler.onHeartbeat(heartbeat(1, 1, null, running), now);
         planAndCommit();
--- a/src/test/java/org/gullway/coordination/agents/MachineLifecycleTest.java
+++ b/src/test/java/org/gullway/coordination/agents/MachineLifecycleTest.java
@@ -11,6 +11,7 @@
 import org.gullway.coordination.model.StoreKeys;
 import org.gullway.coordination.model.TestFixtures;
 import org.gullway.coordination.model.Transaction;
+import org.gullway.protocol.Count;
 import org.gullway.protocol.Heartbeat;
 import org.gullway.protocol.JobRequest;
 import org.gullway.protocol.Priority;
@@ -35,7 +36,18 @@
         for (int i = 0; i < 5; i++) {
             reconciler.onHeartbeat(heartbeat(1, 1, null), now);
             reconciler.onHeartbeat(
-                    new Heartbeat("vm-2", "10.1.0.2:9000", "large", "a", true, 1, ++sequence, 1, null, List.of()), now);
+                    new Heartbeat(
+                            "vm-2",
+                            "10.1.0.2:9000",
+                            "large",
+                            "a",
+                            true,
+                            Count.ONE,
+                            Count.of(++sequence),
+                            Count.ONE,
+                            null,
+                            List.of()),
+                    now);
             Instant sentAt = now;
             now = now.plusSeconds(3);
             reconciler.commandsDue(sentAt).stream()
@@ -79,7 +91,7 @@
                 Duration.ofSeconds(2),
                 null);
         place(withCheckpoints, "vm-1");
-        TaskStatus running = new TaskStatus(TASK, 1, Phase.RUNNING, null, false);
+        TaskStatus running = new TaskStatus(TASK, Count.ONE, Phase.RUNNING, null, false);
         reconciler.onHeartbeat(heartbeat(1, 1, Duration.ofSeconds(15), running), now);
         planAndCommit();
         assertThat(clusterState.machine("vm-1").isSchedulable()).isFalse();
@@ -102,7 +114,7 @@
         TestFixtures.put(clusterState, TestFixtures.machine("vm-1", "large", TestFixtures.SELF), 10);
         place(request, "vm-1");
         cancel(request.id(), TestFixtures.WALL_CLOCK_TIME.minusSeconds(29));
-        clusterState.advanceTo(revision);
+        clusterState.advanceTo(Count.of(revision));
         reconciler.onLeaseStatus(false, now);
         reconciler.onLeaseStatus(true, now);
         planAndCommit();
@@ -125,8 +137,9 @@
         TestFixtures.put(clusterState, TestFixtures.machine("vm-1", "large", TestFixtures.SELF), 10);
         place(request, "vm-1");
         cancel(request.id(), TestFixtures.WALL_CLOCK_TIME.minusSeconds(35));
-        clusterState.advanceTo(revision);
-        reconciler.onHeartbeat(heartbeat(1, 1, null, new TaskStatus(TASK, 1, Phase.ENDED, Cause.STOPPED, false)), now);
+        clusterState.advanceTo(Count.of(revision));
+        reconciler.onHeartbeat(
+                heartbeat(1, 1, null, new TaskStatus(TASK, Count.ONE, Phase.ENDED, Cause.STOPPED, false)), now);
         Transaction transaction =
                 new Transaction(clusterState, TestFixtures.SELF, TestFixtures.LIMITS, TestFixtures.WALL_CLOCK_TIME);
         reconciler.plan(transaction, TestFixtures.leaderContext(now));
@@ -152,9 +165,9 @@
         planAndCommit();
         assertThat(clusterState.machines()).extracting(MachineRecord::lifecycle).containsOnly(MachineLifecycle.ACTIVE);
         // The users cancel the failing jobs. The jobs still do not count against the machines.
-        clusterState.remove(StoreKeys.job("run-000001"), ++revision);
-        clusterState.remove(StoreKeys.job("run-000002"), ++revision);
-        clusterState.advanceTo(revision);
+        clusterState.remove(StoreKeys.job("run-000001"), Count.of(++revision));
+        clusterState.remove(StoreKeys.job("run-000002"), Count.of(++revision));
+        clusterState.advanceTo(Count.of(revision));
         planAndCommit();
         assertThat(clusterState.machines()).extracting(MachineRecord::lifecycle).containsOnly(MachineLifecycle.ACTIVE);
         for (int job = 3; job <= 4; job++) {
--- a/src/test/java/org/gullway/coordination/cancellation/CancellationEnforcerTest.java
+++ b/src/test/java/org/gullway/coordination/cancellation/CancellationEnforcerTest.java
@@ -11,6 +11,7 @@
 import org.gullway.coordination.model.StoreKeys;
 import org.gullway.coordination.model.TestFixtures;
 import org.gullway.protocol.AgentCommand;
+import org.gullway.protocol.Count;
 import org.gullway.protocol.Heartbeat;
 import org.gullway.protocol.JobRequest;
 import org.gullway.protocol.PeerCancellations;
@@ -35,19 +36,30 @@
 
     CancellationEnforcerTest() {
         TestFixtures.put(clusterState, TestFixtures.machine("vm-2", "large", TestFixtures.PEER), 10);
-        clusterState.put(StoreKeys.job(request.id()), placed, 20);
+        clusterState.put(StoreKeys.job(request.id()), placed, Count.of(20));
     }
 
     private void cancel() {
-        clusterState.put(StoreKeys.job(request.id()), placed.withCancellation(TestFixtures.WALL_CLOCK_TIME), 21);
+        clusterState.put(
+                StoreKeys.job(request.id()), placed.withCancellation(TestFixtures.WALL_CLOCK_TIME), Count.of(21));
     }
 
     private static Heartbeat heartbeat(long agentEpoch, TaskStatus... tasks) {
-        return new Heartbeat("vm-2", "10.1.0.1:9000", "large", "a", true, agentEpoch, 1, 1, null, List.of(tasks));
+        return new Heartbeat(
+                "vm-2",
+                "10.1.0.1:9000",
+                "large",
+                "a",
+                true,
+                Count.of(agentEpoch),
+                Count.ONE,
+                Count.ONE,
+                null,
+                List.of(tasks));
     }
 
     private static TaskStatus taskIn(Phase phase) {
-        return new TaskStatus(TASK, 1, phase, phase == Phase.ENDED ? Cause.STOPPED : null, false);
+        return new TaskStatus(TASK, Count.ONE, phase, phase == Phase.ENDED ? Cause.STOPPED : null, false);
     }
 
     private List<CommandBatch> directStopsAfter(int seconds) {
@@ -60,14 +72,14 @@
         assertThat(cancellationEnforcer.stopCommands(heartbeat(1, taskIn(Phase.RUNNING))))
                 .isEmpty();
         cancel();
-        AgentCommand stop = AgentCommand.stop(TASK, 1, Duration.ZERO);
+        AgentCommand stop = AgentCommand.stop(TASK, Count.ONE, Duration.ZERO);
         assertThat(cancellationEnforcer.stopCommands(heartbeat(1, taskIn(Phase.RUNNING))))
                 .containsExactly(stop);
         assertThat(cancellationEnforcer.stopCommands(heartbeat(1, taskIn(Phase.SAVING))))
                 .containsExactly(stop);
         assertThat(cancellationEnforcer.stopCommands(heartbeat(1, taskIn(Phase.ENDED))))
                 .isEmpty();
-        clusterState.remove(StoreKeys.job(request.id()), 22);
+        clusterState.remove(StoreKeys.job(request.id()), Count.of(22));
         clusterState.clear();
         assertThat(cancellationEnforcer.stopCommands(heartbeat(1, taskIn(Phase.FETCHING))))
                 .containsExactly(stop);
@@ -84,9 +96,9 @@
         List<CommandBatch> batches = directStopsAfter(1);
         assertThat(batches).singleElement().satisfies(batch -> {
             assertThat(batch.machine()).isEqualTo("vm-2");
-            assertThat(batch.fencingToken()).isEqualTo(1);
-            assertThat(batch.agentEpoch()).isEqualTo(1);
-            assertThat(batch.commands()).containsExactly(AgentCommand.stop(TASK, 1, Duration.ZERO));
+            assertThat(batch.fencingToken()).isEqualTo(Count.of(1));
+            assertThat(batch.agentEpoch()).isEqualTo(Count.of(1));
+            assertThat(batch.commands()).containsExactly(AgentCommand.stop(TASK, Count.ONE, Duration.ZERO));
         });
         assertThat(directStopsAfter(9))
                 .as("at most one batch is in flight for each machine")
@@ -140,7 +152,7 @@
         PeerCancellations.CancelledJob job = new PeerCancellations.CancelledJob(
                 request.id(),
                 TestFixtures.WALL_CLOCK_TIME.toEpochMilli(),
-                List.of(new PeerCancellations.CancelledAttempt(0, 1, "vm-2", 1)));
+                List.of(new PeerCancellations.CancelledAttempt(0, Count.ONE, "vm-2", Count.ONE)));
         assertThat(cancellationEnforcer.knownCancellations()).isEmpty();
         cancellationEnforcer.add(job, now);
         assertThat(cancellationEnforcer.knownCancellations()).containsExactly(job);
@@ -175,6 +187,6 @@
                 .containsExactly(new PeerCancellations.CancelledJob(
                         request.id(),
                         TestFixtures.WALL_CLOCK_TIME.toEpochMilli(),
-                        List.of(new PeerCancellations.CancelledAttempt(0, 1, "vm-2", 1))));
+                        List.of(new PeerCancellations.CancelledAttempt(0, Count.ONE, "vm-2", Count.ONE))));
     }
 }
--- a/src/test/java/org/gullway/coordination/cancellation/CancellationWatermarkTest.java
+++ b/src/test/java/org/gullway/coordination/cancellation/CancellationWatermarkTest.java
@@ -8,6 +8,7 @@
 import org.gullway.coordination.model.Incarnation;
 import org.gullway.coordination.model.StoreKeys;
 import org.gullway.coordination.model.TestFixtures;
+import org.gullway.protocol.Count;
 import org.junit.jupiter.api.Test;
 
 class CancellationWatermarkTest {
@@ -19,7 +20,7 @@
             new CancellationWatermark(clusterState, List.of("perch-1", "perch-2"));
 
     CancellationWatermarkTest() {
-        clusterState.put(StoreKeys.member("perch-2"), SECOND_PEER, 9);
+        clusterState.put(StoreKeys.member("perch-2"), SECOND_PEER, Count.of(9));
     }
 
     /** A peer may have confirmed cancellations since it last listed them. */
@@ -55,7 +56,7 @@
 
     @Test
     void aPeerThatIsNotAMemberDoesNotAdvanceIt() {
-        clusterState.remove(StoreKeys.member("perch-2"), 30);
+        clusterState.remove(StoreKeys.member("perch-2"), Count.of(30));
         cancellationWatermark.advance(TestFixtures.PEER, STORE_KNOWN_THROUGH.plusSeconds(5));
         cancellationWatermark.advance(SECOND_PEER, STORE_KNOWN_THROUGH.plusSeconds(5));
         assertThat(cancellationWatermark.knownThrough(STORE_KNOWN_THROUGH)).isEqualTo(STORE_KNOWN_THROUGH);
--- a/src/test/java/org/gullway/coordination/cancellation/LeaseRenewalPolicyTest.java
+++ b/src/test/java/org/gullway/coordination/cancellation/LeaseRenewalPolicyTest.java
@@ -13,6 +13,7 @@
 import org.gullway.coordination.model.MachineRecord;
 import org.gullway.coordination.model.StoreKeys;
 import org.gullway.coordination.model.TestFixtures;
+import org.gullway.protocol.Count;
 import org.gullway.protocol.Heartbeat;
 import org.gullway.protocol.JobRequest;
 import org.gullway.protocol.Priority;
@@ -37,7 +38,16 @@
 
     private static Heartbeat heartbeat(String machine, long agentEpoch, long fencingToken, TaskStatus... tasks) {
         return new Heartbeat(
-                machine, "10.1.0.1:9000", "large", "a", true, agentEpoch, 1, fencingToken, null, List.of(tasks));
+                machine,
+                "10.1.0.1:9000",
+                "large",
+                "a",
+                true,
+                Count.of(agentEpoch),
+                Count.ONE,
+                Count.of(fencingToken),
+                null,
+                List.of(tasks));
     }
 
     /** The agent must try the other controllers first: one that holds a valid lease can give it tasks. */
@@ -109,17 +119,19 @@
                 JobRecord.accepted(request, "perch-0", TestFixtures.WALL_CLOCK_TIME),
                 TestFixtures.WALL_CLOCK_TIME,
                 "vm-2");
-        clusterState.put(StoreKeys.job(request.id()), job, 20);
+        clusterState.put(StoreKeys.job(request.id()), job, Count.of(20));
         assertThat(leaseRenewal.mayRenewDuringOutage(heartbeat("vm-2", 1, 1), now))
                 .isTrue();
-        clusterState.put(StoreKeys.job(request.id()), job.withCancellation(TestFixtures.WALL_CLOCK_TIME), 21);
+        clusterState.put(StoreKeys.job(request.id()), job.withCancellation(TestFixtures.WALL_CLOCK_TIME), Count.of(21));
         assertThat(leaseRenewal.mayRenewDuringOutage(heartbeat("vm-2", 1, 1), now))
                 .isFalse();
-        TaskStatus otherAttempt = new TaskStatus(new TaskId(request.id(), 0), 9, TaskStatus.Phase.RUNNING, null, false);
+        TaskStatus otherAttempt =
+                new TaskStatus(new TaskId(request.id(), 0), Count.of(9), TaskStatus.Phase.RUNNING, null, false);
         assertThat(leaseRenewal.mayRenewDuringOutage(heartbeat("vm-2", 1, 1, otherAttempt), now))
                 .as("only another attempt is listed")
                 .isFalse();
-        TaskStatus listed = new TaskStatus(new TaskId(request.id(), 0), 1, TaskStatus.Phase.RUNNING, null, false);
+        TaskStatus listed =
+                new TaskStatus(new TaskId(request.id(), 0), Count.ONE, TaskStatus.Phase.RUNNING, null, false);
         assertThat(leaseRenewal.mayRenewDuringOutage(heartbeat("vm-2", 1, 1, listed), now))
                 .as("the response stops the listed attempt")
                 .isTrue();
--- a/src/test/java/org/gullway/coordination/failover/ReconciliationTest.java
+++ b/src/test/java/org/gullway/coordination/failover/ReconciliationTest.java
@@ -19,6 +19,7 @@
 import org.gullway.coordination.model.StoreKeys;
 import org.gullway.coordination.model.TestFixtures;
 import org.gullway.coordination.model.Transaction;
+import org.gullway.protocol.Count;
 import org.gullway.protocol.Priority;
 
 class ReconciliationTest {
@@ -36,7 +37,7 @@
                         job,
                         TestFixtures.WALL_CLOCK_TIME,
                         Collections.nCopies(placed, "vm-1").toArray(String[]::new)),
-                ++revision);
+                Count.of(++revision));
     }
 
     private void reconcile(int seed, int cycles) {
@@ -69,14 +70,14 @@
     @Property(tries = 40, seed = "41")
     void quotaPartitionIsNotTransferredWhileStoredUsageExceedsIt(
             @ForAll @IntRange(min = 0, max = 8) int firstJobTasks, @ForAll @IntRange(max = 1000) int seed) {
-        clusterState.put(StoreKeys.member("perch-2"), THIRD, ++revision);
+        clusterState.put(StoreKeys.member("perch-2"), THIRD, Count.of(++revision));
         TestFixtures.put(clusterState, TestFixtures.machine("vm-1", "large", TestFixtures.SELF), ++revision);
         clusterState.put(
                 StoreKeys.quotaPartition("perch-9"),
                 QuotaPartition.EMPTY.with("red", new QuotaPartition.Amount(24, 0)),
-                ++revision);
+                Count.of(++revision));
         for (String controller : List.of("perch-0", "perch-1", "perch-2")) {
-            clusterState.put(StoreKeys.quotaPartition(controller), QuotaPartition.EMPTY, ++revision);
+            clusterState.put(StoreKeys.quotaPartition(controller), QuotaPartition.EMPTY, Count.of(++revision));
         }
         putOrphanedJob("run-000001", firstJobTasks);
         putOrphanedJob("run-000002", 8 - firstJobTasks);
@@ -97,8 +98,8 @@
                         JobRecord.AttemptOutcome.DONE,
                         job.livePlacements().get(1),
                         JobRecord.AttemptOutcome.DONE)),
-                ++revision);
-        clusterState.advanceTo(revision);
+                Count.of(++revision));
+        clusterState.advanceTo(Count.of(revision));
         reconcile(seed, 3);
         double totalQuota = 0;
         for (String id : List.of("run-000001", "run-000002")) {
@@ -135,7 +136,7 @@
             clusterState.put(
                     StoreKeys.job(job.request().id()),
                     TestFixtures.placed(job, TestFixtures.WALL_CLOCK_TIME, machine, machine),
-                    ++revision);
+                    Count.of(++revision));
         }
         Reconciliation reconciliation =
                 new Reconciliation(clusterState, TestFixtures.quotas(), "perch-0", new SplittableRandom(1));
@@ -150,7 +151,7 @@
                 .isEqualTo(80);
         TestFixtures.put(
                 clusterState,
-                TestFixtures.machine("vm-2", "large", TestFixtures.SELF).withAgentEpoch(2, "10.1.0.1:9000"),
+                TestFixtures.machine("vm-2", "large", TestFixtures.SELF).withAgentEpoch(Count.of(2), "10.1.0.1:9000"),
                 ++revision);
         reconcileAt(reconciliation, 50);
         assertThat(reconciliation.checkedPlacements())
@@ -158,7 +159,7 @@
                 .isEqualTo(80 + 20);
         assertThat(clusterState.placementsOn("vm-2")).isEmpty();
         assertThat(clusterState.placementsOn("vm-1")).hasSize(60);
-        clusterState.remove(StoreKeys.shard("g-vm-1"), ++revision);
+        clusterState.remove(StoreKeys.shard("g-vm-1"), Count.of(++revision));
         for (int second = 51; second < 60; second++) {
             reconcileAt(reconciliation, second);
         }
--- a/src/test/java/org/gullway/coordination/model/ClusterStateTest.java
+++ b/src/test/java/org/gullway/coordination/model/ClusterStateTest.java
@@ -9,6 +9,7 @@
 import java.util.SplittableRandom;
 import net.jqwik.api.ForAll;
 import net.jqwik.api.Property;
+import org.gullway.protocol.Count;
 import org.gullway.protocol.Priority;
 import org.junit.jupiter.api.Test;
 
@@ -23,12 +24,13 @@
         ClusterState clusterState = TestFixtures.clusterState();
         JobRecord job = JobRecord.accepted(
                 TestFixtures.request("run-000001", "red", Priority.HIGH, 1, 4), null, TestFixtures.WALL_CLOCK_TIME);
-        clusterState.put(StoreKeys.job("run-000001"), job, 1001);
-        clusterState.remove(StoreKeys.job("run-000001"), 1003);
-        clusterState.advanceTo(1003);
-        clusterState.put(StoreKeys.job("run-000001"), job.withCancellation(TestFixtures.WALL_CLOCK_TIME), 1002);
+        clusterState.put(StoreKeys.job("run-000001"), job, Count.of(1001));
+        clusterState.remove(StoreKeys.job("run-000001"), Count.of(1003));
+        clusterState.advanceTo(Count.of(1003));
+        clusterState.put(
+                StoreKeys.job("run-000001"), job.withCancellation(TestFixtures.WALL_CLOCK_TIME), Count.of(1002));
         assertThat(clusterState.job("run-000001")).isNull();
-        assertThat(clusterState.version(StoreKeys.job("run-000001"))).isZero();
+        assertThat(clusterState.version(StoreKeys.job("run-000001"))).isEqualTo(Count.ZERO);
     }
 
     /** The indexes process only the placements that differ between two records; the sums must match a full recount. */
@@ -67,7 +69,7 @@
                                 : job;
                     };
             expected.put(id, next);
-            clusterState.put(StoreKeys.job(id), next, 2000 + i);
+            clusterState.put(StoreKeys.job(id), next, Count.of(2000 + i));
         }
         for (String machine : List.of("vm-0", "vm-1", "vm-2")) {
             List<Placement> placements = new ArrayList<>();
--- a/src/test/java/org/gullway/coordination/model/TestFixtures.java
+++ b/src/test/java/org/gullway/coordination/model/TestFixtures.java
@@ -9,6 +9,7 @@
 import org.gullway.coordination.placement.MachineTypeCatalog;
 import org.gullway.coordination.placement.PlacementConstraints;
 import org.gullway.coordination.quota.TeamQuotas;
+import org.gullway.protocol.Count;
 import org.gullway.protocol.JobRequest;
 import org.gullway.protocol.MachineType;
 import org.gullway.protocol.Priority;
@@ -53,7 +54,7 @@
 
     /** A shard that contains only a machine of this name, commanded by {@link #SELF}. */
     public static MachineShard shard(String machine) {
-        return new MachineShard("g-" + machine, SELF, 1, List.of(machine(machine, "small", SELF)));
+        return new MachineShard("g-" + machine, SELF, Count.ONE, List.of(machine(machine, "small", SELF)));
     }
 
     /** An accepted best-effort job. */
@@ -86,8 +87,8 @@
     }
 
     public static MachineRecord machine(String name, String type, Incarnation controller) {
-        return MachineRecord.booting(name, type, "a", true, WALL_CLOCK_TIME, controller, 1)
-                .withAgentEpoch(1, "10.1.0.1:9000");
+        return MachineRecord.booting(name, type, "a", true, WALL_CLOCK_TIME, controller, Count.ONE)
+                .withAgentEpoch(Count.ONE, "10.1.0.1:9000");
     }
 
     /** Puts a machine into a cluster state, in a shard that contains only this machine. */
@@ -95,8 +96,8 @@
         clusterState.put(
                 StoreKeys.shard("g-" + machine.name()),
                 new MachineShard("g-" + machine.name(), machine.controller(), machine.fencingToken(), List.of(machine)),
-                version);
-        clusterState.advanceTo(version);
+                Count.of(version));
+        clusterState.advanceTo(Count.of(version));
     }
 
     /** A job with one task on each of these machines, in agent epoch 1. */
@@ -108,17 +109,17 @@
     /** A cluster state with two members, of which {@link #SELF} is the leader, at fencing token 1. */
     public static ClusterState clusterState() {
         ClusterState clusterState = new ClusterState();
-        clusterState.put(StoreKeys.member(SELF.node()), SELF, 1);
-        clusterState.put(StoreKeys.member(PEER.node()), PEER, 2);
-        clusterState.put(StoreKeys.LEADER, SELF, 3);
-        clusterState.put(StoreKeys.FENCING_TOKEN, new FencingToken(1), 4);
+        clusterState.put(StoreKeys.member(SELF.node()), SELF, Count.ONE);
+        clusterState.put(StoreKeys.member(PEER.node()), PEER, Count.of(2));
+        clusterState.put(StoreKeys.LEADER, SELF, Count.of(3));
+        clusterState.put(StoreKeys.FENCING_TOKEN, new FencingToken(Count.ONE), Count.of(4));
         QuotaPartition all = QuotaPartition.EMPTY
                 .with("red", new QuotaPartition.Amount(32, 0))
                 .with("blue", new QuotaPartition.Amount(64, 0));
-        clusterState.put(StoreKeys.LEADER_QUOTA, all, 5);
-        clusterState.put(StoreKeys.quotaPartition(SELF.node()), all, 6);
-        clusterState.put(StoreKeys.quotaPartition(PEER.node()), all, 7);
-        clusterState.advanceTo(8);
+        clusterState.put(StoreKeys.LEADER_QUOTA, all, Count.of(5));
+        clusterState.put(StoreKeys.quotaPartition(SELF.node()), all, Count.of(6));
+        clusterState.put(StoreKeys.quotaPartition(PEER.node()), all, Count.of(7));
+        clusterState.advanceTo(Count.of(8));
         return clusterState;
     }
 
@@ -129,7 +130,7 @@
 
     /** Applies a transaction as if the store had committed it. */
     public static void commit(ClusterState clusterState, Transaction transaction, long revision) {
-        clusterState.apply(transaction.changes(), revision);
-        clusterState.advanceTo(revision);
+        clusterState.apply(transaction.changes(), Count.of(revision));
+        clusterState.advanceTo(Count.of(revision));
     }
 }
--- a/src/test/java/org/gullway/coordination/quota/UnlimitedQuotaTest.java
+++ b/src/test/java/org/gullway/coordination/quota/UnlimitedQuotaTest.java
@@ -14,6 +14,7 @@
 import org.gullway.coordination.model.TestFixtures;
 import org.gullway.coordination.model.Transaction;
 import org.gullway.coordination.placement.MachineTypeCatalog;
+import org.gullway.protocol.Count;
 import org.gullway.protocol.JobRequest;
 import org.gullway.protocol.Priority;
 import org.gullway.protocol.Settings;
@@ -53,21 +54,21 @@
     @Test
     void teamWithUnlimitedQuotaGetsPartitionsForItsDemand() {
         ClusterState clusterState = new ClusterState();
-        clusterState.put(StoreKeys.member(TestFixtures.SELF.node()), TestFixtures.SELF, 1);
-        clusterState.put(StoreKeys.member(TestFixtures.PEER.node()), TestFixtures.PEER, 2);
+        clusterState.put(StoreKeys.member(TestFixtures.SELF.node()), TestFixtures.SELF, Count.ONE);
+        clusterState.put(StoreKeys.member(TestFixtures.PEER.node()), TestFixtures.PEER, Count.of(2));
         JobRequest request = TestFixtures.request("run-000001", "guest", Priority.IDLE, 25_000, 32);
         clusterState.put(
                 StoreKeys.job(request.id()),
                 JobRecord.accepted(request, TestFixtures.SELF.node(), TestFixtures.WALL_CLOCK_TIME),
-                3);
+                Count.of(3));
         clusterState.put(
                 StoreKeys.job("run-000002"),
                 JobRecord.accepted(
                         TestFixtures.request("run-000002", "guest", Priority.IDLE, 25_000, 32),
                         TestFixtures.PEER.node(),
                         TestFixtures.WALL_CLOCK_TIME),
-                4);
-        clusterState.advanceTo(4);
+                Count.of(4));
+        clusterState.advanceTo(Count.of(4));
         long revision = 4;
         for (Incarnation controller : List.of(TestFixtures.SELF, TestFixtures.PEER)) {
             Transaction transaction =
--- a/src/test/java/org/gullway/coordination/scheduling/BestEffortQueueTest.java
+++ b/src/test/java/org/gullway/coordination/scheduling/BestEffortQueueTest.java
@@ -18,6 +18,7 @@
 import org.gullway.coordination.model.StoreKeys;
 import org.gullway.coordination.model.TestFixtures;
 import org.gullway.coordination.model.Transaction;
+import org.gullway.protocol.Count;
 import org.gullway.protocol.JobRequest;
 import org.gullway.protocol.Priority;
 import org.gullway.protocol.Settings;
@@ -55,7 +56,7 @@
                         TestFixtures.request(id, team, Priority.NORMAL, tasks, 4),
                         owner,
                         TestFixtures.WALL_CLOCK_TIME.minusSeconds(ageSeconds)),
-                version);
+                Count.of(version));
     }
 
     private Transaction newTransaction() {
@@ -99,7 +100,7 @@
         clusterState.put(
                 StoreKeys.job("run-000001"),
                 lateJob.withoutEndedAttempts(Map.of(lateJob.livePlacements().get(0), JobRecord.AttemptOutcome.DONE)),
-                11);
+                Count.of(11));
         accept("run-000002", "red", "perch-0", 4, 5, 12);
         Transaction transaction = schedule();
         assertThat(transaction.job("run-000002").livePlacements()).hasSize(4);
@@ -120,14 +121,14 @@
     @Test
     void aStalledJobUsesTheMachineCordonedForIt() {
         TestFixtures.put(clusterState, TestFixtures.machine("vm-2", "large", TestFixtures.PEER), 11);
-        clusterState.put(StoreKeys.CORDONED, new CordonedMachines(Set.of("vm-2")), 12);
+        clusterState.put(StoreKeys.CORDONED, new CordonedMachines(Set.of("vm-2")), Count.of(12));
         clusterState.put(
                 StoreKeys.job("run-000001"),
                 JobRecord.accepted(
                         TestFixtures.request("run-000001", "red", Priority.NORMAL, 2, 32),
                         "perch-0",
                         TestFixtures.WALL_CLOCK_TIME.minusSeconds(160)),
-                13);
+                Count.of(13));
         accept("run-000002", "blue", "perch-0", 8, 5, 14);
         Transaction transaction = schedule();
         assertThat(transaction.job("run-000001").livePlacements())
@@ -155,14 +156,14 @@
                 "vm-2",
                 "vm-2",
                 "vm-2");
-        clusterState.put(StoreKeys.job("run-000009"), runningJob, 12);
+        clusterState.put(StoreKeys.job("run-000009"), runningJob, Count.of(12));
         clusterState.put(
                 StoreKeys.job("run-000001"),
                 JobRecord.accepted(
                         TestFixtures.request("run-000001", "red", Priority.NORMAL, 9, 2),
                         "perch-0",
                         TestFixtures.WALL_CLOCK_TIME),
-                13);
+                Count.of(13));
         CompletionBuffer completionBuffer = new CompletionBuffer(clusterState);
         completionBuffer.add(
                 AttemptId.of(runningJob, runningJob.livePlacements().get(0)),
@@ -189,8 +190,8 @@
                 "b",
                 true,
                 TestFixtures.SELF,
-                1,
-                1,
+                Count.ONE,
+                Count.ONE,
                 MachineRecord.MachineLifecycle.ACTIVE,
                 other.provisionedAt());
         TestFixtures.put(clusterState, machineInOtherZone, 11);
@@ -198,7 +199,7 @@
         clusterState.put(
                 StoreKeys.job(singleZone.id()),
                 JobRecord.accepted(withZones(singleZone, true, false), "perch-0", TestFixtures.WALL_CLOCK_TIME),
-                12);
+                Count.of(12));
         Transaction transaction = newTransaction();
         bestEffortQueue.schedule(transaction, () -> List.of(machine, machineInOtherZone), Instant.EPOCH);
         assertThat(transaction.job(singleZone.id()).livePlacements())
@@ -209,11 +210,11 @@
                         .distinct())
                 .hasSize(1);
         JobRequest spread = TestFixtures.request("run-000002", "red", Priority.NORMAL, 5, 4);
-        clusterState.remove(StoreKeys.job(singleZone.id()), 13);
+        clusterState.remove(StoreKeys.job(singleZone.id()), Count.of(13));
         clusterState.put(
                 StoreKeys.job(spread.id()),
                 JobRecord.accepted(withZones(spread, false, true), "perch-0", TestFixtures.WALL_CLOCK_TIME),
-                14);
+                Count.of(14));
         transaction = newTransaction();
         bestEffortQueue.schedule(transaction, () -> List.of(machine, machineInOtherZone), Instant.EPOCH);
         assertThat(transaction.job(spread.id()).livePlacements())
@@ -251,7 +252,7 @@
 
     @Test
     void noTaskStartsOnACordonedMachine() {
-        clusterState.put(StoreKeys.CORDONED, new CordonedMachines(Set.of("vm-1")), 20);
+        clusterState.put(StoreKeys.CORDONED, new CordonedMachines(Set.of("vm-1")), Count.of(20));
         accept("run-000001", "red", "perch-0", 4, 5, 11);
         Transaction transaction = schedule();
         assertThat(transaction.isEmpty()).isTrue();
@@ -264,7 +265,7 @@
                         TestFixtures.request(id, "blue", Priority.IDLE, tasks, 4),
                         "perch-0",
                         TestFixtures.WALL_CLOCK_TIME.minusSeconds(50)),
-                version);
+                Count.of(version));
     }
 
     @Test
@@ -280,7 +281,7 @@
         clusterState.put(
                 StoreKeys.job("run-000009"),
                 TestFixtures.placed(reserved, TestFixtures.WALL_CLOCK_TIME, "vm-9", "vm-9"),
-                12);
+                Count.of(12));
         transaction = schedule();
         assertThat(transaction.job("run-000001").livePlacements())
                 .as("8 of the 16 CPUs are kept free for reserved jobs")
@@ -300,13 +301,15 @@
         clusterState.put(
                 StoreKeys.job("run-000001"),
                 TestFixtures.placed(scavenger, TestFixtures.WALL_CLOCK_TIME, "vm-1", "vm-1", "vm-1"),
-                12);
+                Count.of(12));
         JobRecord normal = JobRecord.accepted(
                 TestFixtures.request("run-000002", "red", Priority.NORMAL, 1, 4),
                 "perch-1",
                 TestFixtures.WALL_CLOCK_TIME);
         clusterState.put(
-                StoreKeys.job("run-000002"), TestFixtures.placed(normal, TestFixtures.WALL_CLOCK_TIME, "vm-1"), 13);
+                StoreKeys.job("run-000002"),
+                TestFixtures.placed(normal, TestFixtures.WALL_CLOCK_TIME, "vm-1"),
+                Count.of(13));
         Transaction transaction = newTransaction();
         scavengerScheduler.plan(transaction, TestFixtures.leaderContext(Instant.EPOCH));
         assertThat(transaction.isEmpty()).as("no job waits").isTrue();
--- a/src/test/java/org/gullway/coordination/scheduling/PeerOffersTest.java
+++ b/src/test/java/org/gullway/coordination/scheduling/PeerOffersTest.java
@@ -15,6 +15,7 @@
 import org.gullway.coordination.model.StoreKeys;
 import org.gullway.coordination.model.TestFixtures;
 import org.gullway.coordination.model.Transaction;
+import org.gullway.protocol.Count;
 import org.gullway.protocol.Priority;
 import org.gullway.protocol.ResourceOffer;
 import org.junit.jupiter.api.Test;
@@ -57,14 +58,14 @@
                         TestFixtures.request("run-000001", "red", Priority.NORMAL, 2, 4),
                         "perch-1",
                         TestFixtures.WALL_CLOCK_TIME.minusSeconds(5)),
-                11);
+                Count.of(11));
         Transaction transaction = newTransaction();
         List<BestEffortQueue.OutgoingOffers> offers =
                 bestEffortQueue.schedule(transaction, () -> List.of(machine), Instant.EPOCH);
         assertThat(transaction.isEmpty()).isTrue();
         assertThat(offers)
                 .containsExactly(new BestEffortQueue.OutgoingOffers(
-                        "perch-1", List.of(new ResourceOffer("vm-1", 1, List.of("perch-0")))));
+                        "perch-1", List.of(new ResourceOffer("vm-1", Count.ONE, List.of("perch-0")))));
 
         BestEffortQueue peer = newQueue("perch-1", 2);
         peer.onOffers(offers.get(0).offers(), Instant.EPOCH);
@@ -82,14 +83,16 @@
                 "perch-0",
                 TestFixtures.WALL_CLOCK_TIME);
         clusterState.put(
-                StoreKeys.job("run-000001"), TestFixtures.placed(running, TestFixtures.WALL_CLOCK_TIME, "vm-1"), 11);
+                StoreKeys.job("run-000001"),
+                TestFixtures.placed(running, TestFixtures.WALL_CLOCK_TIME, "vm-1"),
+                Count.of(11));
         clusterState.put(
                 StoreKeys.job("run-000002"),
                 JobRecord.accepted(
                         TestFixtures.request("run-000002", "red", Priority.NORMAL, 1, waitingTaskCpus),
                         "perch-1",
                         TestFixtures.WALL_CLOCK_TIME),
-                12);
+                Count.of(12));
         return bestEffortQueue.schedule(newTransaction(), () -> List.of(machine), Instant.EPOCH);
     }
 
@@ -113,7 +116,7 @@
                         TestFixtures.request("run-000001", "red", Priority.NORMAL, 1, 4),
                         "perch-1",
                         TestFixtures.WALL_CLOCK_TIME),
-                11);
+                Count.of(11));
         List<MachineRecord> machines = new ArrayList<>();
         for (int i = 0; i < 5 * ResourceOffer.MAX_PER_MESSAGE; i++) {
             MachineRecord next = TestFixtures.machine("vm-" + (1000 + i), "small", TestFixtures.SELF);
--- a/src/test/java/org/gullway/coordination/scheduling/ReservedSchedulerTest.java
+++ b/src/test/java/org/gullway/coordination/scheduling/ReservedSchedulerTest.java
@@ -13,6 +13,7 @@
 import org.gullway.coordination.model.StoreKeys;
 import org.gullway.coordination.model.TestFixtures;
 import org.gullway.coordination.model.Transaction;
+import org.gullway.protocol.Count;
 import org.gullway.protocol.Priority;
 import org.junit.jupiter.api.Test;
 
@@ -34,7 +35,7 @@
                 StoreKeys.job(id),
                 JobRecord.accepted(
                         TestFixtures.request(id, team, priority, tasks, cpus), null, TestFixtures.WALL_CLOCK_TIME),
-                version);
+                Count.of(version));
     }
 
     private Transaction schedule() {
@@ -62,7 +63,9 @@
         JobRecord first = JobRecord.accepted(
                 TestFixtures.request("run-000009", "red", Priority.HIGH, 2, 4), null, TestFixtures.WALL_CLOCK_TIME);
         clusterState.put(
-                StoreKeys.job("run-000009"), TestFixtures.placed(first, TestFixtures.WALL_CLOCK_TIME, "vm-1"), 12);
+                StoreKeys.job("run-000009"),
+                TestFixtures.placed(first, TestFixtures.WALL_CLOCK_TIME, "vm-1"),
+                Count.of(12));
         accept("run-000001", "red", Priority.HIGH, 1, 4, 13);
         Transaction transaction = schedule();
         assertThat(transaction.job("run-000001").livePlacements())
@@ -100,7 +103,7 @@
                         TestFixtures.request("run-000001", "red", Priority.NORMAL, 2, 32),
                         "perch-1",
                         TestFixtures.WALL_CLOCK_TIME.minusSeconds(160)),
-                12);
+                Count.of(12));
         Transaction transaction = schedule();
         assertThat(transaction.changes()).containsEntry(StoreKeys.CORDONED, new CordonedMachines(Set.of("vm-2")));
     }
@@ -136,8 +139,8 @@
                         TestFixtures.WALL_CLOCK_TIME),
                 TestFixtures.WALL_CLOCK_TIME.minusSeconds(30),
                 "vm-1");
-        clusterState.put(StoreKeys.job("run-000008"), smallTasks, 12);
-        clusterState.put(StoreKeys.job("run-000009"), largeTask, 13);
+        clusterState.put(StoreKeys.job("run-000008"), smallTasks, Count.of(12));
+        clusterState.put(StoreKeys.job("run-000009"), largeTask, Count.of(13));
         accept("run-000001", "red", Priority.HIGH, 1, 4, 14);
         Transaction transaction = schedule();
         assertThat(transaction.job("run-000008").livePlacements())
--- a/src/test/java/org/gullway/fake/AgentTasks.java
+++ b/src/test/java/org/gullway/fake/AgentTasks.java
@@ -90,10 +90,9 @@
     /** Adds the status of each task to the array. */
     void addStatuses(ArrayNode statuses) {
         for (Task task : tasks.values()) {
-            ObjectNode status = statuses.addObject()
-                    .put("leg", task.id)
-                    .put("launch", task.attempt)
-                    .put("tide", task.running() ? "running" : "ended");
+            ObjectNode status =
+                    statuses.addObject().put("leg", task.id).put("tide", task.running() ? "running" : "ended");
+            status.set("launch", UnsignedNumbers.node(task.attempt));
             if (!task.running()) {
                 status.put("cause", task.endCause);
             }
@@ -102,7 +101,7 @@
 
     void execute(JsonNode command) {
         String id = command.path("leg").asText();
-        long attempt = command.path("launch").asLong();
+        long attempt = UnsignedNumbers.bits(command.path("launch"));
         String key = id + "#" + attempt;
         Task task = tasks.get(key);
         switch (command.path("call").asText()) {
