--- a/src/test/java/org/gullway/fake/FakeAgent.java
+++ b/src/test/java/org/gullway/fake/FakeAgent.java
@@ -97,6 +97,15 @@
         checkLease();
     }
 
+    /**
+     * Sets the agent epoch and the number of the last message, as the 64 bits of unsigned numbers. To be called before
+     * the agent sends its first heartbeat.
+     */
+    public void startNumbersAt(long epoch, long lastSequence) {
+        agentEpoch = epoch;
+        sequence = lastSequence;
+    }
+
     public String name() {
         return machine.name();
     }
@@ -171,7 +180,7 @@
             ObjectNode node = Cbor.decode(response);
             if (epochWhenSent != agentEpoch
                     || !node.has("baton")
-                    || node.path("baton").asLong() < fencingToken) {
+                    || UnsignedNumbers.isLess(UnsignedNumbers.bits(node.path("baton")), fencingToken)) {
                 return;
             }
             leaseRenewedAt = sentAt;
@@ -195,8 +204,8 @@
             ObjectNode node = Cbor.decode(exchange.body());
             if (!node.has("baton") || !node.has("flight")) {
                 exchange.respond(HttpStatus.BAD_REQUEST, new byte[0]);
-            } else if (node.path("baton").asLong() < fencingToken
-                    || node.path("flight").asLong() != agentEpoch) {
+            } else if (UnsignedNumbers.isLess(UnsignedNumbers.bits(node.path("baton")), fencingToken)
+                    || UnsignedNumbers.bits(node.path("flight")) != agentEpoch) {
                 exchange.respond(HttpStatus.CONFLICT, Cbor.encode(nextStatus()));
             } else {
                 execute(node);
@@ -209,7 +218,7 @@
 
     /** Adopts the fencing token of the message and executes its commands. */
     private void execute(ObjectNode message) {
-        fencingToken = message.path("baton").asLong();
+        fencingToken = UnsignedNumbers.bits(message.path("baton"));
         JsonNode commands = message.path("calls");
         commands.forEach(tasks::execute);
         if (!commands.isEmpty()) {
@@ -223,11 +232,11 @@
                 .put("endpoint", machine.address())
                 .put("breed", machine.kind().type())
                 .put("shore", machine.kind().zone())
-                .put("driftwood", machine.kind().spot())
-                .put("flight", agentEpoch)
-                .put("tally", ++sequence)
-                .put("baton", fencingToken)
-                .putNull("warning_s");
+                .put("driftwood", machine.kind().spot());
+        node.set("flight", UnsignedNumbers.node(agentEpoch));
+        node.set("tally", UnsignedNumbers.node(++sequence));
+        node.set("baton", UnsignedNumbers.node(fencingToken));
+        node.putNull("warning_s");
         tasks.addStatuses(node.putArray("legs"));
         return node;
     }
--- a/src/test/java/org/gullway/fake/FakeStateStore.java
+++ b/src/test/java/org/gullway/fake/FakeStateStore.java
@@ -46,6 +46,15 @@
         loop.every(EXPIRY_CHECK_INTERVAL, this::expire);
     }
 
+    /**
+     * Sets the current revision and the id of the last lease, as the 64 bits of unsigned numbers. To be called before the
+     * first request.
+     */
+    public void startNumbersAt(long lastRevision, long lastLease) {
+        contents.startRevisionsAt(lastRevision);
+        leases.startIdsAt(lastLease);
+    }
+
     /**
      * Starts or ends an outage. During an outage all requests are rejected and open watches stay open; at its end every
      * lease is renewed for its full duration.
@@ -198,10 +207,11 @@
     }
 
     private ObjectNode itemOf(String key, StoreContents.Entry entry) {
-        ObjectNode node = Cbor.map().put("k", key).put("mark", entry.version());
+        ObjectNode node = Cbor.map().put("k", key);
+        node.set("mark", UnsignedNumbers.node(entry.version()));
         node.set("v", entry.value());
         if (entry.lease() != 0) {
-            node.put("tether", entry.lease());
+            node.set("tether", UnsignedNumbers.node(entry.lease()));
         }
         return node;
     }
@@ -264,7 +274,7 @@
 
     private boolean refersToUnknownLease(ObjectNode body) {
         for (JsonNode change : body.path("then")) {
-            if (change.has("tether") && !leases.exists(change.path("tether").asLong())) {
+            if (change.has("tether") && !leases.exists(UnsignedNumbers.bits(change.path("tether")))) {
                 return true;
             }
         }
@@ -274,9 +284,9 @@
     private void commitIfUnchanged(HttpExchange exchange, ObjectNode body) {
         List<String> failed = contents.failedConditions(body.path("guards"));
         if (!failed.isEmpty()) {
-            ObjectNode failure = Cbor.map();
+            ObjectNode failure = revisionResponse();
             failed.forEach(failure.putArray("failed")::add);
-            exchange.respond(HttpStatus.CONFLICT, Cbor.encode(failure.put("logline", contents.revision())));
+            exchange.respond(HttpStatus.CONFLICT, Cbor.encode(failure));
             return;
         }
         JsonNode changes = body.path("then");
@@ -288,7 +298,9 @@
     }
 
     private ObjectNode revisionResponse() {
-        return Cbor.map().put("logline", contents.revision());
+        ObjectNode node = Cbor.map();
+        node.set("logline", UnsignedNumbers.node(contents.revision()));
+        return node;
     }
 
     private void notifyListeners(JsonNode changes) {
@@ -302,7 +314,8 @@
 
     private void watch(String client, HttpExchange exchange, Map<String, String> query) {
         Duration timeout = Duration.ofMillis(Long.parseLong(query.getOrDefault("block_ms", "0")));
-        watches.open(client, query.getOrDefault("under", ""), Long.parseLong(query.get("from")), timeout, exchange);
+        watches.open(
+                client, query.getOrDefault("under", ""), Long.parseUnsignedLong(query.get("from")), timeout, exchange);
     }
 
     /** Handles /grants (grants a lease), /grants/id/renew (renews it) and /grants/id (ends it). */
@@ -312,7 +325,7 @@
             respondLease(exchange, leases.grant(Duration.ofMillis(millis)));
             return;
         }
-        long id = Long.parseLong(path[2]);
+        long id = Long.parseUnsignedLong(path[2]);
         if (!leases.exists(id)) {
             exchange.respond(HttpStatus.NOT_FOUND, new byte[0]);
         } else if (path.length == 4) {
@@ -325,6 +338,6 @@
     }
 
     private static void respondLease(HttpExchange exchange, long id) {
-        exchange.respond(HttpStatus.OK, Cbor.encode(Cbor.map().put("tether", id)));
+        exchange.respond(HttpStatus.OK, Cbor.encode(Cbor.map().set("tether", UnsignedNumbers.node(id))));
     }
 }
--- a/src/test/java/org/gullway/fake/StoreContents.java
+++ b/src/test/java/org/gullway/fake/StoreContents.java
@@ -31,6 +31,10 @@
         return revision;
     }
 
+    void startRevisionsAt(long lastRevision) {
+        revision = lastRevision;
+    }
+
     /** Returns the entry of the key, or null if the key does not exist. */
     Entry entry(String key) {
         return entries.get(key);
@@ -47,7 +51,7 @@
         for (JsonNode condition : conditions) {
             String key = condition.path("k").asText();
             Entry entry = entries.get(key);
-            if ((entry == null ? 0 : entry.version()) != condition.path("mark").asLong()) {
+            if ((entry == null ? 0 : entry.version()) != UnsignedNumbers.bits(condition.path("mark"))) {
                 failed.add(key);
             }
         }
@@ -71,7 +75,7 @@
             return;
         }
         JsonNode value = change.path("v");
-        entries.put(key, new Entry(value, revision, change.path("tether").asLong()));
+        entries.put(key, new Entry(value, revision, UnsignedNumbers.bits(change.path("tether"))));
         events.add(new Event(key, value, revision));
     }
 
@@ -98,7 +102,9 @@
 
     /** Returns whether a key with this prefix has changed after the revision. */
     boolean changedAfter(long from, String prefix) {
-        for (int i = events.size() - 1; i >= 0 && events.get(i).revision() > from; i--) {
+        for (int i = events.size() - 1;
+                i >= 0 && UnsignedNumbers.isLess(from, events.get(i).revision());
+                i--) {
             if (events.get(i).key().startsWith(prefix)) {
                 return true;
             }
@@ -109,7 +115,7 @@
     /** Returns all events after the revision. */
     List<Event> eventsAfter(long from) {
         int first = events.size();
-        while (first > 0 && events.get(first - 1).revision() > from) {
+        while (first > 0 && UnsignedNumbers.isLess(from, events.get(first - 1).revision())) {
             first--;
         }
         return events.subList(first, events.size());
--- a/src/test/java/org/gullway/fake/StoreLeases.java
+++ b/src/test/java/org/gullway/fake/StoreLeases.java
@@ -19,6 +19,10 @@
         this.loop = loop;
     }
 
+    void startIdsAt(long last) {
+        lastId = last;
+    }
+
     /** Grants a lease and returns its id. */
     long grant(Duration duration) {
         leases.put(++lastId, startingNow(duration));
--- a/src/test/java/org/gullway/fake/StoreWatches.java
+++ b/src/test/java/org/gullway/fake/StoreWatches.java
@@ -68,11 +68,13 @@
     }
 
     private void answer(Watch watch) {
-        ObjectNode node = Cbor.map().put("logline", contents.revision());
+        ObjectNode node = Cbor.map();
+        node.set("logline", UnsignedNumbers.node(contents.revision()));
         ArrayNode events = node.putArray("events");
         for (StoreContents.Event event : contents.eventsAfter(watch.afterRevision)) {
             if (event.key().startsWith(watch.prefix)) {
-                ObjectNode item = events.addObject().put("mark", event.revision());
+                ObjectNode item = events.addObject();
+                item.set("mark", UnsignedNumbers.node(event.revision()));
                 if (event.value() == null) {
                     item.put("remove", event.key());
                 } else {
--- a/src/test/java/org/gullway/peer/CancellationExchangeTest.java
+++ b/src/test/java/org/gullway/peer/CancellationExchangeTest.java
@@ -16,6 +16,7 @@
 import org.gullway.coordination.model.TestFixtures;
 import org.gullway.fake.SimulatedNetwork;
 import org.gullway.fake.SimulatedTime;
+import org.gullway.protocol.Count;
 import org.gullway.protocol.MalformedMessageException;
 import org.gullway.protocol.Priority;
 import org.gullway.protocol.Settings;
@@ -62,7 +63,7 @@
                         TestFixtures.WALL_CLOCK_TIME);
                 JobRecord cancelled = TestFixtures.placed(job, TestFixtures.WALL_CLOCK_TIME, "vm-000001")
                         .withCancellation(TestFixtures.WALL_CLOCK_TIME);
-                clusterState.put(StoreKeys.job(job.request().id()), cancelled, ++version);
+                clusterState.put(StoreKeys.job(job.request().id()), cancelled, Count.of(++version));
             }
         }
 
@@ -124,7 +125,7 @@
             controller.clusterState.put(
                     StoreKeys.member(TestFixtures.PEER.node()),
                     new Incarnation(TestFixtures.PEER.node(), TestFixtures.PEER.number() + 1),
-                    20_000);
+                    Count.of(20_000));
         }
         for (int i = 0; i < 2; i++) {
             self.exchange.poll(time.now());
--- a/src/test/java/org/gullway/protocol/GoldenMessagesTest.java
+++ b/src/test/java/org/gullway/protocol/GoldenMessagesTest.java
@@ -153,14 +153,14 @@
     void commandEncodingIsUnchanged() {
         TaskId task = new TaskId("run-000412", 3);
         List<AgentCommand> commands = List.of(
-                AgentCommand.start(task, 31),
-                AgentCommand.stop(task, 30, Duration.ofMillis(4500)),
-                AgentCommand.stop(task, 29, Duration.ZERO),
-                AgentCommand.forget(task, 28));
-        GOLDEN.check("report-answer", AgentCommand.encodeResponse(9, commands));
-        GOLDEN.check("report-answer-empty", AgentCommand.encodeResponse(9, List.of()));
-        GOLDEN.check("report-answer-cached", new HeartbeatResponseEncoder().encode(9, List.of()));
-        GOLDEN.check("direct-command", AgentCommand.encodeDirect(9, 3, commands));
+                AgentCommand.start(task, Count.of(31)),
+                AgentCommand.stop(task, Count.of(30), Duration.ofMillis(4500)),
+                AgentCommand.stop(task, Count.of(29), Duration.ZERO),
+                AgentCommand.forget(task, Count.of(28)));
+        GOLDEN.check("report-answer", AgentCommand.encodeResponse(Count.of(9), commands));
+        GOLDEN.check("report-answer-empty", AgentCommand.encodeResponse(Count.of(9), List.of()));
+        GOLDEN.check("report-answer-cached", new HeartbeatResponseEncoder().encode(Count.of(9), List.of()));
+        GOLDEN.check("direct-command", AgentCommand.encodeDirect(Count.of(9), Count.of(3), commands));
         GOLDEN.check("redirect", AgentCommand.encodeRedirect("perch-2"));
         GOLDEN.check("redirect-anywhere", AgentCommand.encodeRedirectToAny());
     }
@@ -251,8 +251,8 @@
     @Test
     void resourceOfferEncodingIsUnchanged() throws MalformedMessageException {
         List<ResourceOffer> offers = List.of(
-                new ResourceOffer("vm-000001", 3, List.of()),
-                new ResourceOffer("vm-000002", 4, List.of("perch-0", "perch-2")));
+                new ResourceOffer("vm-000001", Count.of(3), List.of()),
+                new ResourceOffer("vm-000002", Count.of(4), List.of("perch-0", "perch-2")));
         GOLDEN.check("offers", ResourceOffer.encode(offers));
         GOLDEN.check("offers-none", ResourceOffer.encode(List.of()));
         assertThat(ResourceOffer.decode(GOLDEN.bytes("offers"))).isEqualTo(offers);
@@ -263,9 +263,9 @@
     @Test
     void attemptCompletionEncodingIsUnchanged() throws MalformedMessageException {
         List<AttemptCompletion> completions = List.of(
-                new AttemptCompletion(new TaskId("run-000412", 3), 31, (byte) 0),
-                new AttemptCompletion(new TaskId("run-000412", 299), 4_294_967_300L, (byte) 1),
-                new AttemptCompletion(new TaskId("run-000413", 0), 1, (byte) 2));
+                new AttemptCompletion(new TaskId("run-000412", 3), Count.of(31), (byte) 0),
+                new AttemptCompletion(new TaskId("run-000412", 299), Count.of(4_294_967_300L), (byte) 1),
+                new AttemptCompletion(new TaskId("run-000413", 0), Count.ONE, (byte) 2));
         GOLDEN.check("ends", AttemptCompletion.encode(completions));
         assertThat(AttemptCompletion.decode(GOLDEN.bytes("ends"))).isEqualTo(completions);
         assertThat(AttemptCompletion.encode(AttemptCompletion.decode(GOLDEN.bytes("ends"))))
@@ -285,8 +285,9 @@
                         "run-000001",
                         1_763_618_400_124L,
                         List.of(
-                                new PeerCancellations.CancelledAttempt(3, 31, "vm-000001", 3),
-                                new PeerCancellations.CancelledAttempt(4, 4_294_967_300L, "vm-000002", 4))));
+                                new PeerCancellations.CancelledAttempt(3, Count.of(31), "vm-000001", Count.of(3)),
+                                new PeerCancellations.CancelledAttempt(
+                                        4, Count.of(4_294_967_300L), "vm-000002", Count.of(4)))));
         GOLDEN.check("cancellations", PeerCancellations.encode("perch-2", 7_654_321_098_765L, jobs));
         PeerCancellations read = PeerCancellations.decode(GOLDEN.bytes("cancellations"));
         assertThat(read).isEqualTo(new PeerCancellations("perch-2", 7_654_321_098_765L, true, jobs));
--- a/src/test/java/org/gullway/protocol/HeartbeatTest.java
+++ b/src/test/java/org/gullway/protocol/HeartbeatTest.java
@@ -8,6 +8,7 @@
 import com.fasterxml.jackson.databind.node.ObjectNode;
 import com.sun.management.ThreadMXBean;
 import java.lang.management.ManagementFactory;
+import java.math.BigInteger;
 import java.time.Duration;
 import java.util.ArrayList;
 import java.util.Arrays;
@@ -103,9 +104,8 @@
                 Cbor.map().put("x", -1).path("x"),
                 Cbor.map().put("x", 1.5).path("x"),
                 Cbor.map().put("x", 2e9).path("x"),
-                Cbor.map()
-                        .put("x", new java.math.BigInteger("9223372036854775808"))
-                        .path("x"),
+                Cbor.map().put("x", new BigInteger("9223372036854775808")).path("x"),
+                Cbor.map().put("x", new BigInteger("18446744073709551615")).path("x"),
                 Cbor.map().put("x", Long.MAX_VALUE).path("x"),
                 Cbor.map().put("x", "").path("x"),
                 Cbor.map().put("x", "y".repeat(200)).path("x"),
@@ -269,11 +269,15 @@
     @Test
     void responseWithoutCommandsIsReusedUntilTheFencingTokenChanges() throws MalformedMessageException {
         HeartbeatResponseEncoder encoder = new HeartbeatResponseEncoder();
-        byte[] first = encoder.encode(41, List.of());
-        assertThat(encoder.encode(41, List.of())).isSameAs(first).isEqualTo(AgentCommand.encodeResponse(41, List.of()));
-        List<AgentCommand> commands = List.of(AgentCommand.start(TaskId.parse("run-000412/4"), 2));
-        assertThat(encoder.encode(41, commands)).isEqualTo(AgentCommand.encodeResponse(41, commands));
-        assertThat(encoder.encode(42, List.of())).isEqualTo(AgentCommand.encodeResponse(42, List.of()));
-        assertThat(encoder.encode(41, List.of())).isEqualTo(first);
+        byte[] first = encoder.encode(Count.of(41), List.of());
+        assertThat(encoder.encode(Count.of(41), List.of()))
+                .isSameAs(first)
+                .isEqualTo(AgentCommand.encodeResponse(Count.of(41), List.of()));
+        List<AgentCommand> commands = List.of(AgentCommand.start(TaskId.parse("run-000412/4"), Count.of(2)));
+        assertThat(encoder.encode(Count.of(41), commands))
+                .isEqualTo(AgentCommand.encodeResponse(Count.of(41), commands));
+        assertThat(encoder.encode(Count.of(42), List.of()))
+                .isEqualTo(AgentCommand.encodeResponse(Count.of(42), List.of()));
+        assertThat(encoder.encode(Count.of(41), List.of())).isEqualTo(first);
     }
 }
--- a/src/test/java/org/gullway/protocol/MessageLimitsTest.java
+++ b/src/test/java/org/gullway/protocol/MessageLimitsTest.java
@@ -4,6 +4,7 @@
 
 import com.fasterxml.jackson.databind.node.ArrayNode;
 import com.fasterxml.jackson.databind.node.ObjectNode;
+import java.math.BigInteger;
 import java.time.Duration;
 import java.util.ArrayList;
 import java.util.List;
@@ -19,6 +20,7 @@
     private static final int MAX_MESSAGE_BYTES = 64 * 1024;
     private static final String LONGEST_JOB_ID = "run-" + "9".repeat(18);
     private static final int LAST_TASK = 99_999;
+    private static final BigInteger MAX_COUNT = new BigInteger("18446744073709551615");
 
     private static TaskId longestTaskId() {
         return new TaskId(LONGEST_JOB_ID, LAST_TASK);
@@ -38,15 +40,15 @@
                 .put("breed", longestText)
                 .put("shore", longestText)
                 .put("driftwood", false)
-                .put("flight", Long.MAX_VALUE)
-                .put("tally", Long.MAX_VALUE)
-                .put("baton", Long.MAX_VALUE)
+                .put("flight", MAX_COUNT)
+                .put("tally", MAX_COUNT)
+                .put("baton", MAX_COUNT)
                 .put("warning_s", 123.456);
         ArrayNode attempts = heartbeat.putArray("legs");
         for (int i = 0; i < MessageLimits.MAX_LISTED_ATTEMPTS; i++) {
             attempts.addObject()
                     .put("leg", longestTaskId().toString())
-                    .put("launch", Long.MAX_VALUE)
+                    .put("launch", MAX_COUNT)
                     .put("tide", "ended")
                     .put("cause", "halted")
                     .put("stored", false);
@@ -60,14 +62,14 @@
     void commandsThatDoNotFitAreLeftOut(@ForAll @IntRange(max = 3000) int count) throws MalformedMessageException {
         List<AgentCommand> commands = new ArrayList<>();
         for (int i = 0; i < count; i++) {
-            commands.add(AgentCommand.stop(longestTaskId(), Long.MAX_VALUE, Duration.ofNanos(123_456_789_012_345L)));
+            commands.add(AgentCommand.stop(longestTaskId(), Count.MAX, Duration.ofNanos(123_456_789_012_345L)));
         }
         List<AgentCommand> fitting = AgentCommand.firstThatFit(commands);
         assertThat(commands).startsWith(fitting.toArray(AgentCommand[]::new));
         assertThat(fitting).hasSizeGreaterThanOrEqualTo(Math.min(count, MessageLimits.MAX_LISTED_ATTEMPTS));
-        assertThat(jsonBytes(AgentCommand.encodeDirect(Long.MAX_VALUE, Long.MAX_VALUE, fitting)))
+        assertThat(jsonBytes(AgentCommand.encodeDirect(Count.MAX, Count.MAX, fitting)))
                 .isLessThanOrEqualTo(MAX_MESSAGE_BYTES);
-        assertThat(jsonBytes(new HeartbeatResponseEncoder().encode(Long.MAX_VALUE, commands)))
+        assertThat(jsonBytes(new HeartbeatResponseEncoder().encode(Count.MAX, commands)))
                 .isLessThanOrEqualTo(MAX_MESSAGE_BYTES);
     }
 
--- a/src/test/java/org/gullway/protocol/PeerMessagesTest.java
+++ b/src/test/java/org/gullway/protocol/PeerMessagesTest.java
@@ -28,7 +28,8 @@
         List<String> controllers = new ArrayList<>();
         declinedBy.forEach(name -> controllers.add("perch-" + Math.abs(name.hashCode() % 100)));
         List<ResourceOffer> offers = List.of(
-                new ResourceOffer("vm-" + machine, agentEpoch, controllers), new ResourceOffer("vm-1", 1, List.of()));
+                new ResourceOffer("vm-" + machine, Count.ofUnsignedBits(agentEpoch), controllers),
+                new ResourceOffer("vm-1", Count.ONE, List.of()));
         byte[] bytes = ResourceOffer.encode(offers);
         assertThat(ResourceOffer.decode(bytes)).isEqualTo(offers);
         for (int cut = 0; cut < bytes.length; cut++) {
@@ -42,8 +43,8 @@
             @ForAll @IntRange(min = 0, max = 99_999) int task, @ForAll long attempt, @ForAll byte outcome)
             throws MalformedMessageException {
         List<AttemptCompletion> completions = List.of(
-                new AttemptCompletion(new TaskId("run-000001", task), attempt, outcome),
-                new AttemptCompletion(new TaskId("run-000002", 0), 1, (byte) 0));
+                new AttemptCompletion(new TaskId("run-000001", task), Count.ofUnsignedBits(attempt), outcome),
+                new AttemptCompletion(new TaskId("run-000002", 0), Count.ONE, (byte) 0));
         byte[] bytes = AttemptCompletion.encode(completions);
         assertThat(AttemptCompletion.decode(bytes)).isEqualTo(completions);
         for (int cut = 0; cut < bytes.length; cut++) {
@@ -63,7 +64,10 @@
             cancelledJobs.add(new PeerCancellations.CancelledJob(
                     "run-" + i,
                     1_700_000_000_000L + i,
-                    Collections.nCopies(i, new PeerCancellations.CancelledAttempt(task, attempt, "vm-" + i, 3))));
+                    Collections.nCopies(
+                            i,
+                            new PeerCancellations.CancelledAttempt(
+                                    task, Count.ofUnsignedBits(attempt), "vm-" + i, Count.of(3)))));
         }
         byte[] bytes = PeerCancellations.encode("perch-1", attempt, cancelledJobs);
         assertThat(bytes.length).isLessThan(48 * 1024);
@@ -128,7 +132,9 @@
                 new PeerCancellations.CancelledJob(
                         "run-1",
                         1,
-                        Collections.nCopies(200, new PeerCancellations.CancelledAttempt(1, 2, "vm-000001", 3))));
+                        Collections.nCopies(
+                                200,
+                                new PeerCancellations.CancelledAttempt(1, Count.of(2), "vm-000001", Count.of(3)))));
         assertThat(PeerCancellations.decode(PeerCancellations.encode("perch-1", 1, cancelledJobs))
                         .complete())
                 .isFalse();
@@ -144,12 +150,12 @@
     @Test
     void peerMessagesWithHalfOfASurrogatePairAreRejected() {
         String text = "x\uD83D";
-        assertMalformed(
-                () -> ResourceOffer.decode(ResourceOffer.encode(List.of(new ResourceOffer(text, 1, List.of())))));
-        assertMalformed(
-                () -> ResourceOffer.decode(ResourceOffer.encode(List.of(new ResourceOffer("vm-1", 1, List.of(text))))));
+        assertMalformed(() ->
+                ResourceOffer.decode(ResourceOffer.encode(List.of(new ResourceOffer(text, Count.ONE, List.of())))));
+        assertMalformed(() -> ResourceOffer.decode(
+                ResourceOffer.encode(List.of(new ResourceOffer("vm-1", Count.ONE, List.of(text))))));
         assertMalformed(() -> AttemptCompletion.decode(
-                AttemptCompletion.encode(List.of(new AttemptCompletion(new TaskId(text, 0), 1, (byte) 0)))));
+                AttemptCompletion.encode(List.of(new AttemptCompletion(new TaskId(text, 0), Count.ONE, (byte) 0)))));
         assertMalformed(() -> CancellationQuery.decode(new CancellationQuery("", "", Set.of(text)).encode()));
         assertMalformed(() -> PeerCancellations.decode(PeerCancellations.encode(text, 1, List.of())));
         assertMalformed(() ->
@@ -160,7 +166,7 @@
 
     private static PeerCancellations.CancelledJob cancelledJob(String id, String machine) {
         return new PeerCancellations.CancelledJob(
-                id, 1, List.of(new PeerCancellations.CancelledAttempt(0, 1, machine, 1)));
+                id, 1, List.of(new PeerCancellations.CancelledAttempt(0, Count.ONE, machine, Count.ONE)));
     }
 
     private static void assertMalformed(ThrowableAssert.ThrowingCallable decoding) {
--- a/src/test/java/org/gullway/storage/GoldenRecordsTest.java
+++ b/src/test/java/org/gullway/storage/GoldenRecordsTest.java
@@ -23,6 +23,7 @@
 import org.gullway.coordination.model.StoreRecord;
 import org.gullway.golden.GoldenFile;
 import org.gullway.protocol.Cbor;
+import org.gullway.protocol.Count;
 import org.gullway.protocol.JobRequest;
 import org.gullway.protocol.JobState;
 import org.gullway.protocol.MalformedMessageException;
@@ -74,18 +75,33 @@
 
     private static Placement placement(
             int task, long attempt, String machine, boolean stopping, long millisSinceSubmission) {
-        return new Placement(task, attempt, machine, 3, stopping, SUBMITTED.plusMillis(millisSinceSubmission));
+        return new Placement(
+                task, Count.of(attempt), machine, Count.of(3), stopping, SUBMITTED.plusMillis(millisSinceSubmission));
     }
 
     private static JobRecord job(JobRequest request, String owner, Instant cancelledAt, List<Placement> live) {
-        return new JobRecord(request, owner, SUBMITTED, cancelledAt, IntegerRanges.of(0, 4, 9, 9, 20, 31), 40, 2, live);
+        return new JobRecord(
+                request, owner, SUBMITTED, cancelledAt, IntegerRanges.of(0, 4, 9, 9, 20, 31), Count.of(40), 2, live);
     }
 
     /** A machine is a spot machine if its agent epoch is even, so that both kinds occur. */
     private static MachineRecord machine(
             String name, String address, long agentEpoch, MachineRecord.MachineLifecycle lifecycle) {
         return new MachineRecord(
-                name, address, "small", "a", agentEpoch % 2 == 0, CONTROLLER, agentEpoch, 9, lifecycle, SUBMITTED);
+                name,
+                address,
+                "small",
+                "a",
+                agentEpoch % 2 == 0,
+                CONTROLLER,
+                Count.of(agentEpoch),
+                Count.of(9),
+                lifecycle,
+                SUBMITTED);
+    }
+
+    private static MachineShard shard(String id, long fencingToken, List<MachineRecord> machines) {
+        return new MachineShard(id, CONTROLLER, Count.of(fencingToken), machines);
     }
 
     private static String jobKey() {
@@ -124,9 +140,8 @@
                     lifecycle));
         }
         machines.add(machine("vm-000020", null, 0, MachineRecord.MachineLifecycle.ACTIVE));
-        samples.add(new Sample("group", StoreKeys.shard("g-1"), new MachineShard("g-1", CONTROLLER, 9, machines)));
-        samples.add(
-                new Sample("group-empty", StoreKeys.shard("g-2"), new MachineShard("g-2", CONTROLLER, 10, List.of())));
+        samples.add(new Sample("group", StoreKeys.shard("g-1"), shard("g-1", 9, machines)));
+        samples.add(new Sample("group-empty", StoreKeys.shard("g-2"), shard("g-2", 10, List.of())));
         QuotaPartition partition = QuotaPartition.EMPTY
                 .with("red", new QuotaPartition.Amount(16.5, 2))
                 .with("blue", new QuotaPartition.Amount(0.25, 0));
@@ -135,7 +150,7 @@
         samples.add(new Sample("share-empty", StoreKeys.quotaPartition("perch-1"), QuotaPartition.EMPTY));
         samples.add(new Sample("member", StoreKeys.member("perch-1"), CONTROLLER));
         samples.add(new Sample("leader", StoreKeys.LEADER, CONTROLLER));
-        samples.add(new Sample("epoch", StoreKeys.FENCING_TOKEN, new FencingToken(4_294_967_300L)));
+        samples.add(new Sample("epoch", StoreKeys.FENCING_TOKEN, new FencingToken(Count.of(4_294_967_300L))));
         samples.add(new Sample(
                 "closed",
                 StoreKeys.CORDONED,
--- a/src/test/java/org/gullway/storage/GoldenStoreCallsTest.java
+++ b/src/test/java/org/gullway/storage/GoldenStoreCallsTest.java
@@ -12,6 +12,7 @@
 import org.gullway.coordination.model.StoreKeys;
 import org.gullway.coordination.model.StoreRecord;
 import org.gullway.golden.GoldenFile;
+import org.gullway.protocol.Count;
 import org.gullway.transport.HttpClient;
 import org.gullway.transport.HttpRequest;
 import org.gullway.transport.HttpResponse;
@@ -51,14 +52,15 @@
         clientFor("get").get("live/jobs/run-000412", GoldenStoreCallsTest::ignoreOutcome);
         clientFor("list-first").list(StoreKeys.LIVE, null, GoldenStoreCallsTest::ignoreOutcome);
         clientFor("list-next").list(StoreKeys.LIVE, "live/jobs/run-000412", GoldenStoreCallsTest::ignoreOutcome);
-        clientFor("watch").watch(StoreKeys.LIVE, 431, Duration.ofMillis(875), GoldenStoreCallsTest::ignoreOutcome);
+        clientFor("watch")
+                .watch(StoreKeys.LIVE, Count.of(431), Duration.ofMillis(875), GoldenStoreCallsTest::ignoreOutcome);
     }
 
     @Test
     void leaseRequestsMatchGoldenBytes() {
         clientFor("grant").grantLease(Duration.ofSeconds(6), GoldenStoreCallsTest::ignoreOutcome);
-        clientFor("renew").renewLease(17, Duration.ofSeconds(2), GoldenStoreCallsTest::ignoreOutcome);
-        clientFor("end").revokeLease(17, GoldenStoreCallsTest::ignoreOutcome);
+        clientFor("renew").renewLease(Count.of(17), Duration.ofSeconds(2), GoldenStoreCallsTest::ignoreOutcome);
+        clientFor("end").revokeLease(Count.of(17), GoldenStoreCallsTest::ignoreOutcome);
     }
 
     @Test
@@ -67,23 +69,23 @@
         Map<String, StoreRecord> changes = new LinkedHashMap<>();
         changes.put(StoreKeys.member("perch-0"), incarnation);
         changes.put(StoreKeys.LEADER, incarnation);
-        changes.put(StoreKeys.FENCING_TOKEN, new FencingToken(12));
+        changes.put(StoreKeys.FENCING_TOKEN, new FencingToken(Count.of(12)));
         changes.put(StoreKeys.job("run-000412"), null);
         clientFor("commit")
                 .commit(
                         List.of(StoreKeys.member("perch-0"), StoreKeys.FENCING_TOKEN, StoreKeys.job("run-000412")),
                         // The versions are arbitrary; the golden entry was recorded with each key's length as its
                         // version.
-                        key -> key.length(),
+                        key -> Count.of(key.length()),
                         changes,
-                        17,
+                        Count.of(17),
                         GoldenStoreCallsTest::ignoreOutcome);
         clientFor("verify")
                 .commit(
                         List.of(StoreKeys.job("run-000412")),
-                        key -> 9,
+                        key -> Count.of(9),
                         Map.of(),
-                        0,
+                        Count.ZERO,
                         GoldenStoreCallsTest::ignoreOutcome);
     }
 }
--- a/src/test/java/org/gullway/storage/RecordCodecTest.java
+++ b/src/test/java/org/gullway/storage/RecordCodecTest.java
@@ -31,6 +31,7 @@
 import org.gullway.coordination.model.TestFixtures;
 import org.gullway.coordination.model.Transaction;
 import org.gullway.protocol.Cbor;
+import org.gullway.protocol.Count;
 import org.gullway.protocol.JobRequest;
 import org.gullway.protocol.JobState;
 import org.gullway.protocol.MalformedMessageException;
@@ -60,9 +61,9 @@
                     task,
                     new Placement(
                             task,
-                            random.nextLong(1L << random.nextInt(1, 63)),
+                            Count.of(random.nextLong(1L << random.nextInt(1, 63))),
                             "vm-" + random.nextInt(1_000_000),
-                            1 + random.nextLong(1L << random.nextInt(1, 63)),
+                            Count.of(1 + random.nextLong(1L << random.nextInt(1, 63))),
                             allStopping || random.nextInt(9) == 0,
                             submitted.plusMillis(random.nextLong(1L << random.nextInt(1, 40)))));
         }
@@ -72,7 +73,7 @@
                 submitted,
                 random.nextBoolean() ? submitted.plusMillis(random.nextInt(1_000_000)) : null,
                 completed,
-                random.nextLong(1L << 40),
+                Count.of(random.nextLong(1L << 40)),
                 random.nextInt(10),
                 List.copyOf(live.values()));
         JobRecord read = (JobRecord) roundTrip(StoreKeys.job("run-000001"), job);
@@ -117,6 +118,12 @@
         assertThat(RecordCodec.encode(grown).toString().length()).isLessThanOrEqualTo(job.maxEncodedBytes());
     }
 
+    /** Returns any count except zero; half of them do not fit into a signed long. */
+    private static Count randomCount(SplittableRandom random) {
+        long bits = random.nextLong();
+        return Count.ofUnsignedBits(bits == 0 ? 1 : bits);
+    }
+
     /** Guards against transactions that exceed the store's limit because a record is larger than counted. */
     @Property(tries = 100, seed = "57")
     void otherRecordsStayWithinTheirBounds(@ForAll long seed) {
@@ -128,18 +135,18 @@
         Set<String> cordoned = new LinkedHashSet<>();
         for (int i = random.nextInt(40); i > 0; i--) {
             machines.add(MachineRecord.booting(
-                            name + i, name, name, true, TestFixtures.WALL_CLOCK_TIME, incarnation, Long.MAX_VALUE)
-                    .withAgentEpoch(random.nextLong(1, Long.MAX_VALUE), random.nextBoolean() ? null : name)
+                            name + i, name, name, true, TestFixtures.WALL_CLOCK_TIME, incarnation, Count.MAX)
+                    .withAgentEpoch(randomCount(random), random.nextBoolean() ? null : name)
                     .withLifecycle(MachineRecord.MachineLifecycle.DRAINING));
             partition = partition.with(name + i, new QuotaPartition.Amount(random.nextDouble(), random.nextDouble()));
             cordoned.add(name + i);
         }
         List<StoreRecord> records = List.of(
                 incarnation,
-                new MachineShard("g-1", incarnation, random.nextLong(Long.MAX_VALUE), machines),
+                new MachineShard("g-1", incarnation, randomCount(random), machines),
                 partition,
                 new CordonedMachines(cordoned),
-                new FencingToken(random.nextLong(Long.MAX_VALUE)),
+                new FencingToken(randomCount(random)),
                 new FinalState(JobState.CANCELLED, JobRequest.MAX_TASKS, JobRequest.MAX_TASKS));
         assertThat(records).allSatisfy(record -> assertThat(
                         RecordCodec.encode(record).toString().length())
@@ -167,22 +174,23 @@
     @Test
     void otherRecordsAreDecodedAsEncoded() throws MalformedMessageException {
         Incarnation incarnation = new Incarnation("perch-0", Long.MAX_VALUE);
-        MachineRecord booting =
-                MachineRecord.booting("vm-1", "small", "a", true, TestFixtures.WALL_CLOCK_TIME, incarnation, 7);
+        MachineRecord booting = MachineRecord.booting(
+                "vm-1", "small", "a", true, TestFixtures.WALL_CLOCK_TIME, incarnation, Count.of(7));
         MachineShard shard = new MachineShard(
                 "g-1",
                 incarnation,
-                7,
+                Count.of(7),
                 List.of(
                         booting,
-                        booting.withAgentEpoch(3, "10.1.0.1:9000"),
+                        booting.withAgentEpoch(Count.of(3), "10.1.0.1:9000"),
                         booting.withLifecycle(MachineRecord.MachineLifecycle.LOST)));
         assertThat(roundTrip(StoreKeys.shard("g-1"), shard)).isEqualTo(shard);
         QuotaPartition partition = QuotaPartition.EMPTY.with("red", new QuotaPartition.Amount(16.5, 2));
         assertThat(roundTrip(StoreKeys.LEADER_QUOTA, partition)).isEqualTo(partition);
         assertThat(roundTrip(StoreKeys.LEADER, incarnation)).isEqualTo(incarnation);
         assertThat(roundTrip(StoreKeys.member("perch-0"), incarnation)).isEqualTo(incarnation);
-        assertThat(roundTrip(StoreKeys.FENCING_TOKEN, new FencingToken(41))).isEqualTo(new FencingToken(41));
+        assertThat(roundTrip(StoreKeys.FENCING_TOKEN, new FencingToken(Count.of(41))))
+                .isEqualTo(new FencingToken(Count.of(41)));
         assertThat(roundTrip(StoreKeys.CORDONED, new CordonedMachines(Set.of("vm-1"))))
                 .isEqualTo(new CordonedMachines(Set.of("vm-1")));
         FinalState finalState = new FinalState(JobState.DONE, 4, 4);
@@ -194,7 +202,7 @@
         ObjectNode token = Cbor.map().put("epoch", "high");
         assertThatThrownBy(() -> RecordCodec.decode(StoreKeys.FENCING_TOKEN, token))
                 .isInstanceOf(MalformedMessageException.class)
-                .hasMessage("live/epoch: epoch is not a count");
+                .hasMessage("live/epoch: epoch is not an integer from 0 to 2^64 - 1");
         ObjectNode shard = Cbor.map().put("epoch", 3);
         shard.putObject("controller").put("node", "perch-0").put("number", 17);
         shard.putArray("machines").addArray().add("vm-1");
--- a/src/test/java/org/gullway/storage/ReplicatedStateTest.java
+++ b/src/test/java/org/gullway/storage/ReplicatedStateTest.java
@@ -20,6 +20,7 @@
 import org.gullway.coordination.model.TestFixtures;
 import org.gullway.coordination.model.Transaction;
 import org.gullway.fake.SimulatedTime;
+import org.gullway.protocol.Count;
 import org.junit.jupiter.api.Test;
 
 /** Tests joining, lease renewal, watching and committing against a simulated state store. */
@@ -33,7 +34,7 @@
         assertThat(results)
                 .extracting(ReplicatedState.CommitResult::isCommitted)
                 .containsExactly(true);
-        assertThat(clusterState.fencingToken()).isEqualTo(1);
+        assertThat(clusterState.fencingToken()).isEqualTo(Count.of(1));
         assertThat(store.value(StoreKeys.FENCING_TOKEN).path("epoch").asLong()).isEqualTo(1);
     }
 
@@ -51,9 +52,9 @@
             cordoned.remove("vm-" + (100_000 + i));
             peer.commit(
                     List.of(),
-                    key -> 0,
+                    key -> Count.ZERO,
                     Map.of(StoreKeys.CORDONED, new CordonedMachines(Set.copyOf(cordoned))),
-                    0,
+                    Count.ZERO,
                     outcome -> {});
             time.runUntil(time.now().plusMillis(40));
         }
@@ -111,7 +112,7 @@
                 restarted.commit(transaction, result -> {});
             }
         }
-        assertThat(restartedState.fencingToken()).isPositive();
+        assertThat(restartedState.fencingToken()).isGreaterThan(Count.ZERO);
         assertThat(test.storeRequests)
                 .filteredOn(request -> request.equals("POST /grants"))
                 .hasSize(1);
@@ -123,7 +124,10 @@
      */
     @Test
     void repeatedConflictTriggersFullRead() {
-        clusterState.put(StoreKeys.LEADER, TestFixtures.PEER, clusterState.watchedRevision() + 1_000_000);
+        clusterState.put(
+                StoreKeys.LEADER,
+                TestFixtures.PEER,
+                clusterState.watchedRevision().plus(1_000_000));
         clusterState.advanceTo(clusterState.watchedRevision());
         for (int i = 0; i < 300 && clusterState.leader() != null; i++) {
             if (replicatedState.canCommit()) {
@@ -136,7 +140,7 @@
         assertThat(clusterState.leader()).isNull();
         replicatedState.commit(fencingTokenTransaction(), result -> {});
         run(1);
-        assertThat(clusterState.fencingToken()).isEqualTo(1);
+        assertThat(clusterState.fencingToken()).isEqualTo(Count.of(1));
     }
 
     @Test
@@ -165,7 +169,7 @@
         run(5);
         assertThat(results).hasSize(1);
         boolean applied = store.value(StoreKeys.FENCING_TOKEN) != null;
-        assertThat(clusterState.fencingToken()).isEqualTo(applied ? 1 : 0);
+        assertThat(clusterState.fencingToken()).isEqualTo(applied ? Count.ONE : Count.ZERO);
     }
 
     /** Guards against two concurrent joins, which would revoke each other's lease. */
@@ -213,13 +217,15 @@
     void holdsNoValidLeaseUntilWatchReachesJoinRevision() {
         run(2);
         network.delayResponses("/watch", Duration.ofMillis(900));
-        new StateStoreClient(network.client("other", storeProcess), STORE_ADDRESS).revokeLease(1, outcome -> {});
+        new StateStoreClient(network.client("other", storeProcess), STORE_ADDRESS)
+                .revokeLease(Count.ONE, outcome -> {});
         int millisWithValidLease = 0;
         int millisBehind = 0;
         for (int i = 0; i < 6000; i++) {
             time.runUntil(time.now().plusMillis(1));
-            boolean watchHasReachedJoin =
-                    clusterState.watchedRevision() >= clusterState.version(StoreKeys.member(TestFixtures.SELF.node()));
+            boolean watchHasReachedJoin = clusterState
+                    .watchedRevision()
+                    .isAtLeast(clusterState.version(StoreKeys.member(TestFixtures.SELF.node())));
             millisBehind += watchHasReachedJoin ? 0 : 1;
             millisWithValidLease += replicatedState.holdsValidLease() ? 1 : 0;
             assertThat(replicatedState.holdsValidLease() && !watchHasReachedJoin)
@@ -244,11 +250,14 @@
         time.runUntil(time.now().plusMillis(50));
         // Removes the delay. Revoking the lease with ID 1, the first lease, ends the membership.
         network.delayResponses("", Duration.ZERO);
-        new StateStoreClient(network.client("other", storeProcess), STORE_ADDRESS).revokeLease(1, outcome -> {});
+        new StateStoreClient(network.client("other", storeProcess), STORE_ADDRESS)
+                .revokeLease(Count.ONE, outcome -> {});
         // Revision 1 is the join, 2 the transaction and 3 the revocation, so a higher version means a second join.
         for (int i = 0;
                 i < 2500
-                        && !(clusterState.version(StoreKeys.member(TestFixtures.SELF.node())) > 3
+                        && !(clusterState
+                                        .version(StoreKeys.member(TestFixtures.SELF.node()))
+                                        .isGreaterThan(Count.of(3))
                                 && replicatedState.canCommit());
                 i++) {
             time.runUntil(time.now().plusMillis(1));
--- a/src/test/java/org/gullway/storage/TransactionSizeTest.java
+++ b/src/test/java/org/gullway/storage/TransactionSizeTest.java
@@ -30,6 +30,7 @@
 import org.gullway.coordination.scheduling.ScavengerScheduler;
 import org.gullway.coordination.scheduling.SchedulingContext;
 import org.gullway.protocol.Cbor;
+import org.gullway.protocol.Count;
 import org.gullway.protocol.MalformedMessageException;
 import org.gullway.protocol.Priority;
 import org.gullway.protocol.Settings;
@@ -56,8 +57,8 @@
             teams.put(team, new Settings.Team(team, 100_000, 100_000, 0, 0));
             quota = quota.with(team, new QuotaPartition.Amount(50_000, 0));
         }
-        clusterState.put(StoreKeys.quotaPartition("perch-0"), quota, ++version);
-        clusterState.put(StoreKeys.LEADER_QUOTA, quota, ++version);
+        clusterState.put(StoreKeys.quotaPartition("perch-0"), quota, Count.of(++version));
+        clusterState.put(StoreKeys.LEADER_QUOTA, quota, Count.of(++version));
         return new SchedulingContext(
                 clusterState,
                 TestFixtures.constraints(),
@@ -83,8 +84,8 @@
                         TestFixtures.request(id, "team-" + number % TEAMS, priority, tasks, cpus),
                         priority == Priority.HIGH ? null : "perch-0",
                         TestFixtures.WALL_CLOCK_TIME.minusSeconds(5)),
-                ++version);
-        clusterState.advanceTo(version);
+                Count.of(++version));
+        clusterState.advanceTo(Count.of(version));
     }
 
     private Transaction newTransaction() {
@@ -95,7 +96,7 @@
     private int jsonBytes(Set<String> conditions, Map<String, StoreRecord> changes) throws MalformedMessageException {
         List<byte[]> bodies = new ArrayList<>();
         new StateStoreClient((address, request, callback) -> bodies.add(request.body()), "10.2.0.1:2379")
-                .commit(conditions, key -> Long.MAX_VALUE, changes, Long.MAX_VALUE, outcome -> {});
+                .commit(conditions, key -> Count.MAX, changes, Count.MAX, outcome -> {});
         return Cbor.decode(bodies.get(0)).toString().length();
     }
 
@@ -168,8 +169,8 @@
                     StoreKeys.job(job.request().id()),
                     job.withPlacements(machines, TestFixtures.WALL_CLOCK_TIME)
                             .withPlacements(machines, TestFixtures.WALL_CLOCK_TIME.plusMillis(1)),
-                    ++version);
-            clusterState.advanceTo(version);
+                    Count.of(++version));
+            clusterState.advanceTo(Count.of(version));
         }
         accept(100, Priority.HIGH, 4, LARGE_TASK_CPUS);
         ReservedScheduler scheduler = new ReservedScheduler(context);
@@ -187,7 +188,7 @@
         JobRecord job = clusterState.job("run-000001");
         Set<String> cordoned = new LinkedHashSet<>();
         machines.subList(10, MACHINES).forEach(machine -> cordoned.add(machine.name()));
-        clusterState.put(StoreKeys.CORDONED, new CordonedMachines(cordoned), ++version);
+        clusterState.put(StoreKeys.CORDONED, new CordonedMachines(cordoned), Count.of(++version));
         for (int from = 0; from < MACHINES; from += TASKS_PER_JOB) {
             String id = String.format("run-%06d", 1000 + from);
             JobRecord stopping = JobRecord.accepted(
@@ -196,9 +197,9 @@
                             job.submittedAt())
                     .withPlacements(machines.subList(from, from + TASKS_PER_JOB), TestFixtures.WALL_CLOCK_TIME)
                     .withStopping(placement -> true);
-            clusterState.put(StoreKeys.job(id), stopping, ++version);
+            clusterState.put(StoreKeys.job(id), stopping, Count.of(++version));
         }
-        clusterState.advanceTo(version);
+        clusterState.advanceTo(Count.of(version));
         accept(100, Priority.HIGH, 300, LARGE_TASK_CPUS);
         ReservedScheduler scheduler = new ReservedScheduler(context);
         Transaction transaction = newTransaction();
--- a/src/test/java/org/gullway/storage/UnreadableRecordsTest.java
+++ b/src/test/java/org/gullway/storage/UnreadableRecordsTest.java
@@ -3,20 +3,13 @@
 import static org.assertj.core.api.Assertions.assertThat;
 import static org.assertj.core.api.Assertions.catchThrowable;
 
-import java.time.Duration;
 import java.util.ArrayList;
 import java.util.List;
-import java.util.Map;
-import java.util.Set;
-import org.gullway.coordination.membership.Membership;
 import org.gullway.coordination.model.ClusterState;
-import org.gullway.coordination.model.Incarnation;
 import org.gullway.coordination.model.StoreKeys;
-import org.gullway.coordination.model.StoreRecord;
 import org.gullway.coordination.model.TestFixtures;
 import org.gullway.coordination.model.Transaction;
 import org.gullway.fake.ForwardingExchange;
-import org.gullway.fake.SimulatedTime;
 import org.gullway.protocol.InvalidTexts;
 import org.gullway.transport.HttpExchange;
 import org.junit.jupiter.api.Test;
@@ -71,29 +64,6 @@
         }
     }
 
-    private void putInStore(String key, StoreRecord value) {
-        new StateStoreClient(network.client("other", storeProcess), STORE_ADDRESS)
-                .commit(Set.of(), k -> 0, Map.of(key, value), 0, outcome -> {});
-    }
-
-    /** Starts another process of this controller and returns its cluster state after some seconds. */
-    private ClusterState restart() {
-        controllerProcess.kill();
-        ClusterState restartedState = new ClusterState();
-        SimulatedTime.SimulatedProcess process = time.newProcess();
-        new ReplicatedState(
-                        process,
-                        new StateStoreClient(network.client("perch-0", process), STORE_ADDRESS),
-                        restartedState,
-                        new Membership(new Incarnation(TestFixtures.SELF.node(), 99), Duration.ofSeconds(6)),
-                        new ReplicatedState.StoreRateLimits(30, 150, 3),
-                        Duration.ofSeconds(1),
-                        () -> {})
-                .start();
-        run(3);
-        return restartedState;
-    }
-
     /** Returns an exchange whose response has the invalid sequence in place of each placeholder. */
     private static HttpExchange withInvalidTexts(HttpExchange exchange, String sequence) {
         return new ForwardingExchange(exchange) {
