A completed attempt is forgotten only once no copy can start it wrongly

Callers saw: a task that was completed could start again on its machine more than cancel_s after its job's cancellation was confirmed, when a copy of its start command, carried out and answered before, reached the machine again (shown by the new tests; not seen in operation).

Cause: an attempt that ended as done was forgotten as soon as its placement was off the record. The agent then no longer knows it, and "a repeated start starts it again"; the token and the session still match. Attempts that failed, were refused or stopped were kept until the agent had confirmed a higher token, so copies of their starts do nothing.

Fix: a done attempt is kept in the same way, unless its job is known to be done. A job counts as done if it has no record and its cancellation would have been seen (EndedJobs). A job with completed tasks that is cancelled without live placements is therefore first put on record as cancelled; Reconciliation removes the record in the next transaction. So lists hold the completed tasks of live jobs, which are few, and a full list raises the token as before.

The agent stand-in now reports the start of a completed task, and the checker treats it like any other start, which makes all scenarios stricter.

--- a/src/main/java/org/gullway/coordination/agents/AgentState.java
+++ b/src/main/java/org/gullway/coordination/agents/AgentState.java
@@ -185,8 +185,8 @@
     }
 
     /** Returns whether the agent may forget an ended attempt, see {@link ListedAttempts#mayForget}. */
-    boolean mayForget(AttemptId id, TaskStatus task) {
-        return listedAttempts.mayForget(id, task, lastMessage.fencingToken());
+    boolean mayForget(AttemptId id, TaskStatus task, boolean jobDone) {
+        return listedAttempts.mayForget(id, task, jobDone, lastMessage.fencingToken());
     }
 
     /**
--- a/src/main/java/org/gullway/coordination/agents/CommandPlanner.java
+++ b/src/main/java/org/gullway/coordination/agents/CommandPlanner.java
@@ -36,7 +36,8 @@
         List<AgentCommand> commands = new ArrayList<>();
         Map<AttemptId, Placement> placements = clusterState.placementsOn(record.name());
         agent.tasks().forEach((id, task) -> {
-            if (task.isEnded() && !placements.containsKey(id) && agent.mayForget(id, task)) {
+            boolean jobDone = clusterState.isKnownDone(id.task().job());
+            if (task.isEnded() && !placements.containsKey(id) && agent.mayForget(id, task, jobDone)) {
                 commands.add(AgentCommand.forget(id.task(), id.attempt()));
             }
         });
--- a/src/main/java/org/gullway/coordination/agents/ListedAttempts.java
+++ b/src/main/java/org/gullway/coordination/agents/ListedAttempts.java
@@ -19,10 +19,7 @@
     private static final Logger LOG = LoggerFactory.getLogger(ListedAttempts.class);
 
     private Map<AttemptId, TaskStatus> tasks = Map.of();
-    /**
-     * For each attempt that ended without success: the fencing token that the agent reported when this controller
-     * first saw the end.
-     */
+    /** For each ended attempt: the fencing token that the agent reported when this controller first saw the end. */
     private final Map<AttemptId, Count> fencingTokenAtEnd = new HashMap<>();
 
     private int heldBackStarts;
@@ -40,7 +37,7 @@
             if (LOG.isDebugEnabled()) {
                 logPhaseChange(tasks.get(id), task, heartbeat.machine());
             }
-            if (task.isEnded() && task.cause() != TaskStatus.Cause.DONE) {
+            if (task.isEnded()) {
                 fencingTokenAtEnd.putIfAbsent(id, heartbeat.fencingToken());
             }
         }
@@ -67,14 +64,16 @@
     }
 
     /**
-     * Returns whether the agent may forget an ended attempt. An attempt that did not succeed is kept until the agent
-     * has confirmed a higher fencing token than it had when the end was first seen. Until then, a duplicate start
-     * could still arrive and run the forgotten attempt again.
+     * Returns whether the agent may forget an ended attempt. An attempt is kept until the agent has confirmed a higher
+     * fencing token than it had when the end was first seen. Until then, a duplicate start could still arrive and start
+     * the forgotten attempt again. That does no harm if the task is completed and its job is done: the attempt ends at
+     * once, and the job has no other tasks and was not cancelled.
      *
+     * @param jobDone whether the job is done if the attempt completed its task
      * @param confirmedToken the fencing token in the agent's newest message
      */
-    boolean mayForget(AttemptId id, TaskStatus task, Count confirmedToken) {
-        if (task.cause() == TaskStatus.Cause.DONE) {
+    boolean mayForget(AttemptId id, TaskStatus task, boolean jobDone, Count confirmedToken) {
+        if (jobDone && task.cause() == TaskStatus.Cause.DONE) {
             return true;
         }
         Count tokenAtEnd = fencingTokenAtEnd.get(id);
--- a/src/main/java/org/gullway/coordination/failover/Reconciliation.java
+++ b/src/main/java/org/gullway/coordination/failover/Reconciliation.java
@@ -82,6 +82,10 @@
                 clusterState.markPlacementsChecked(id);
             }
         }
+        if (planned == known && known.isFinished()) {
+            // Only the cancellation of a job without live placements leaves a finished job on record.
+            transaction.putJob(known);
+        }
         if (orphaned && !next.isFinished() && !clusterState.members().isEmpty()) {
             LostMemberQuota.transferJob(transaction, clusterState, next, randomMember());
         }
--- a/src/main/java/org/gullway/coordination/model/ClusterState.java
+++ b/src/main/java/org/gullway/coordination/model/ClusterState.java
@@ -22,8 +22,7 @@
     /** Ids of jobs to check for lost placements: the record changed, or a machine is gone or in a new agent epoch. */
     private final Set<String> uncheckedJobs = new HashSet<>();
 
-    /** Kept across full reads. */
-    private final CancelledJobIds cancelledJobs = new CancelledJobIds();
+    private final EndedJobs endedJobs = new EndedJobs();
 
     private final Map<String, QuotaPartition> quotaPartitions = new TreeMap<>();
     private final MemberIndex members = new MemberIndex();
@@ -37,6 +36,7 @@
         versions.clear();
         machineIndex.clear();
         placementIndex.clear();
+        endedJobs.beforeFullRead(jobs.keySet());
         jobs.clear();
         uncheckedJobs.clear();
         quotaPartitions.clear();
@@ -139,11 +139,9 @@
             uncheckedJobs.remove(id);
         } else {
             uncheckedJobs.add(id);
+            endedJobs.onRecord(next);
         }
         placementIndex.replace(previous, next);
-        if (next != null && next.isCancelled()) {
-            cancelledJobs.add(id);
-        }
     }
 
     /** Returns and clears the names of machines whose records or placements changed after the last call. */
@@ -156,6 +154,7 @@
     /** Records a full read as of this revision, and that a member may have been lost unseen before it. */
     public void onFullRead(Count revision) {
         members.recordLoss(revision);
+        endedJobs.afterFullRead(jobs.keySet());
         advanceTo(revision);
     }
 
@@ -191,7 +190,12 @@
 
     /** Whether the job is known to be cancelled, even if its record has been removed since. */
     public boolean isCancelled(String job) {
-        return cancelledJobs.contains(job);
+        return endedJobs.isCancelled(job);
+    }
+
+    /** Whether a job with a completed task is done: it has no record, and its cancellation would have been seen. */
+    public boolean isKnownDone(String job) {
+        return !jobs.containsKey(job) && !endedJobs.mayBeCancelled(job);
     }
 
     /** All machines of all shards. */
--- a/src/main/java/org/gullway/coordination/model/CancelledJobIds.java
+++ b/src/main/java/org/gullway/coordination/model/RecentJobIds.java
@@ -5,9 +5,9 @@
 import java.util.Map;
 import java.util.Set;
 
-/** Ids of cancelled jobs, kept after the jobs' end, since cancellation is final. The oldest are evicted. */
-final class CancelledJobIds {
-    /** Bounds the memory for cancelled jobs that ended long ago. */
+/** Ids of jobs that share something final, kept after the jobs' end. The oldest are evicted. */
+final class RecentJobIds {
+    /** Bounds the memory for jobs that ended long ago. */
     private static final int MAX_JOBS = 10_000;
 
     private final Set<String> ids = Collections.newSetFromMap(new LinkedHashMap<>() {
--- a/src/main/java/org/gullway/coordination/model/Transaction.java
+++ b/src/main/java/org/gullway/coordination/model/Transaction.java
@@ -92,7 +92,9 @@
     }
 
     /**
-     * Writes the job's record; if the job is finished, removes the record and writes the final state instead.
+     * Writes the job's record; if the job is finished, removes the record and writes the final state instead. If a job
+     * with completed tasks is cancelled and finished at once, the record is written first, so that every controller
+     * sees the cancellation; {@code Reconciliation} then puts the job again.
      *
      * @throws IllegalStateException if this transaction already removes the record: a final state never changes
      */
@@ -101,7 +103,7 @@
         if (changeSet.isRemoved(StoreKeys.job(id))) {
             throw new IllegalStateException("cannot write job " + id + ": this transaction already removes its record");
         }
-        if (job.isFinished()) {
+        if (job.isFinished() && !isUnseenCancellation(job)) {
             remove(StoreKeys.job(id));
             put(StoreKeys.finalState(id), FinalState.of(job));
         } else {
@@ -109,6 +111,11 @@
         }
     }
 
+    private boolean isUnseenCancellation(JobRecord job) {
+        JobRecord known = clusterState.job(job.request().id());
+        return job.isCancelled() && job.completedTasks().size() > 0 && (known == null || !known.isCancelled());
+    }
+
     /** The shard as this transaction leaves it, or null if it does not exist. */
     public MachineShard shard(String id) {
         String key = StoreKeys.shard(id);
--- a/src/test/java/org/gullway/InvariantChecker.java
+++ b/src/test/java/org/gullway/InvariantChecker.java
@@ -55,6 +55,13 @@
         quota.onTaskStarted(job.request, now);
     }
 
+    /** Handles the start of a task that has completed before: it ends at once, but must not start where it is wrong. */
+    void onCompletedTaskStarted(String machine, String task, Instant now) {
+        ObservedJob job = jobs.get(ObservedJob.jobIdOf(task));
+        placements.checkStart(job, machine, task, now);
+        cancellations.onTaskStarted(job, machine, task, now);
+    }
+
     void onTaskEnded(String machine, String task, boolean done) {
         ObservedJob job = jobs.get(ObservedJob.jobIdOf(task));
         if (placements.onTaskEnded(job, machine, task)) {
--- a/src/test/java/org/gullway/PlacementRules.java
+++ b/src/test/java/org/gullway/PlacementRules.java
@@ -31,17 +31,23 @@
     }
 
     void onTaskStarted(ObservedJob job, String machine, String task, Instant now) {
-        Set<String> runningOn = placements
+        checkStart(job, machine, task, now);
+        placements
                 .computeIfAbsent(job.id(), id -> new HashMap<>())
-                .computeIfAbsent(task, id -> new HashSet<>());
+                .computeIfAbsent(task, id -> new HashSet<>())
+                .add(machine);
+        usedCpus.merge(machine, job.request.cpus(), Double::sum);
+    }
+
+    /** Checks whether the task may start on the machine now. */
+    void checkStart(ObservedJob job, String machine, String task, Instant now) {
+        Set<String> runningOn = placementsOf(job.id()).getOrDefault(task, Set.of());
         if (!runningOn.isEmpty()) {
             violations.add("ran_twice: " + task + " starts on " + machine + " while on " + runningOn + " at " + now);
         }
         violatingProperty(job.request, machines.get(machine))
                 .ifPresent(property ->
                         violations.add("wrong_place: " + task + " on " + machine + ": " + property + " at " + now));
-        runningOn.add(machine);
-        usedCpus.merge(machine, job.request.cpus(), Double::sum);
     }
 
     /** Removes the task from the machine. Returns whether the task ran there. */
--- a/src/test/java/org/gullway/TestUsers.java
+++ b/src/test/java/org/gullway/TestUsers.java
@@ -165,6 +165,12 @@
         invariants.onTaskStarted(machine, task, loop.now());
     }
 
+    @Override
+    public void onCompletedTaskStarted(String machine, String task) {
+        history.add(jobIdOf(task), loop.now(), () -> task + " starts again after its completion on " + machine);
+        invariants.onCompletedTaskStarted(machine, task, loop.now());
+    }
+
     @Override
     public void onTaskEnded(String machine, String task, boolean done) {
         history.add(
--- a/src/test/java/org/gullway/coordination/agents/HeartbeatReceiverTest.java
+++ b/src/test/java/org/gullway/coordination/agents/HeartbeatReceiverTest.java
@@ -5,6 +5,7 @@
 import java.time.Duration;
 import java.util.List;
 import org.gullway.coordination.model.FencingToken;
+import org.gullway.coordination.model.JobRecord;
 import org.gullway.coordination.model.StoreKeys;
 import org.gullway.coordination.model.TestFixtures;
 import org.gullway.protocol.AgentCommand;
@@ -70,6 +71,29 @@
                 .containsExactly(AgentCommand.forget(TASK, Count.ONE));
     }
 
+    /** A duplicate start would start a completed task again, also after the cancellation of its job. */
+    @Test
+    void anAgentMayForgetACompletedAttemptOnlyOnceItsJobIsDoneOrUnderAHigherFencingToken() {
+        TestFixtures.put(clusterState, TestFixtures.machine("vm-1", "large", TestFixtures.SELF), 10);
+        JobRequest request = TestFixtures.request("run-000001", "red", Priority.NORMAL, 2, 4);
+        clusterState.put(
+                StoreKeys.job(request.id()),
+                JobRecord.accepted(request, "perch-0", TestFixtures.WALL_CLOCK_TIME),
+                Count.of(++revision));
+        TaskStatus done = new TaskStatus(TASK, Count.ONE, Phase.ENDED, Cause.DONE, false);
+        reconciler.onHeartbeat(heartbeat(1, 1, null, done), now);
+        assertThat(acceptedCommands(heartbeat(1, 1, null, done)))
+                .as("the job may still be cancelled")
+                .isEmpty();
+        cancel(request.id(), TestFixtures.WALL_CLOCK_TIME);
+        clusterState.remove(StoreKeys.job(request.id()), Count.of(++revision));
+        assertThat(acceptedCommands(heartbeat(1, 1, null, done)))
+                .as("the job was cancelled")
+                .isEmpty();
+        clusterState.put(StoreKeys.FENCING_TOKEN, new FencingToken(Count.of(2)), Count.of(++revision));
+        assertThat(acceptedCommands(heartbeat(1, 2, null, done))).containsExactly(AgentCommand.forget(TASK, Count.ONE));
+    }
+
     @Test
     void anOlderHeartbeatChangesNothing() {
         TestFixtures.put(clusterState, TestFixtures.machine("vm-1", "large", TestFixtures.SELF), 10);
--- a/src/test/java/org/gullway/coordination/model/ClusterStateTest.java
+++ b/src/test/java/org/gullway/coordination/model/ClusterStateTest.java
@@ -33,6 +33,40 @@
         assertThat(clusterState.version(StoreKeys.job("run-000001"))).isEqualTo(Count.ZERO);
     }
 
+    /**
+     * Guards against a completed attempt that is forgotten too early: a job counts as done only if it has no record and
+     * its cancellation would have been seen, which a full read may hide.
+     */
+    @Test
+    void aJobIsKnownToBeDoneOnlyIfItsCancellationWouldHaveBeenSeen() {
+        ClusterState clusterState = TestFixtures.clusterState();
+        for (int i = 1; i <= 4; i++) {
+            clusterState.put(StoreKeys.job("run-00000" + i), acceptedJob("run-00000" + i), Count.of(1000 + i));
+            assertThat(clusterState.isKnownDone("run-00000" + i)).as("live").isFalse();
+        }
+        clusterState.remove(StoreKeys.job("run-000001"), Count.of(1010));
+        clusterState.put(
+                StoreKeys.job("run-000002"),
+                acceptedJob("run-000002").withCancellation(TestFixtures.WALL_CLOCK_TIME),
+                Count.of(1011));
+        clusterState.remove(StoreKeys.job("run-000002"), Count.of(1012));
+        clusterState.clear();
+        clusterState.put(StoreKeys.job("run-000003"), acceptedJob("run-000003"), Count.of(1003));
+        clusterState.onFullRead(Count.of(1020));
+        clusterState.remove(StoreKeys.job("run-000003"), Count.of(1021));
+        assertThat(clusterState.isKnownDone("run-000001")).as("done").isTrue();
+        assertThat(clusterState.isKnownDone("run-000002")).as("cancelled").isFalse();
+        assertThat(clusterState.isKnownDone("run-000003"))
+                .as("done after a full read")
+                .isTrue();
+        assertThat(clusterState.isKnownDone("run-000004")).as("ended unseen").isFalse();
+    }
+
+    private static JobRecord acceptedJob(String id) {
+        return JobRecord.accepted(
+                TestFixtures.request(id, "red", Priority.HIGH, 1, 4), null, TestFixtures.WALL_CLOCK_TIME);
+    }
+
     /** The indexes process only the placements that differ between two records; the sums must match a full recount. */
     @Property(tries = 100, seed = "11")
     void incrementalUsageMatchesAFullRecount(@ForAll long seed) {
--- a/src/test/java/org/gullway/fake/AgentTasks.java
+++ b/src/test/java/org/gullway/fake/AgentTasks.java
@@ -131,6 +131,8 @@
             environment.onTaskStarted(machine, task.id);
             task.remaining = environment.runTime(task.job());
             resume(task);
+        } else if (task.endCause.equals("done")) {
+            environment.onCompletedTaskStarted(machine, task.id);
         }
     }
 
--- a/src/test/java/org/gullway/fake/FakeAgent.java
+++ b/src/test/java/org/gullway/fake/FakeAgent.java
@@ -40,6 +40,9 @@
 
         void onTaskStarted(String machine, String task);
 
+        /** Called when a task that has completed before is started again; it ends at once, since its result is kept. */
+        default void onCompletedTaskStarted(String machine, String task) {}
+
         /**
          * Called when a task has ended on the machine.
          *
