--- a/src/test/java/org/gullway/LargeNumbersTest.java
+++ b/src/test/java/org/gullway/LargeNumbersTest.java
@@ -8,6 +8,7 @@
 import java.time.Instant;
 import java.util.ArrayList;
 import java.util.List;
+import java.util.function.BiConsumer;
 import org.gullway.coordination.model.JobRecord;
 import org.gullway.coordination.model.StoreKeys;
 import org.gullway.fake.FakeAgent;
@@ -85,59 +86,49 @@
         return responses.get(0);
     }
 
-    /** Guards against agents whose every heartbeat is refused, so that no task runs, because its number is too large. */
-    @Test
-    void agentsMayNumberTheirMessagesUpToTheLimit() {
+    /** Checks a cluster for each base, whose numbers of this name the set-up makes follow the base. */
+    private static void assertWorksFromEachBase(String numbers, BiConsumer<SimulatedCluster, BigInteger> setUp) {
         for (BigInteger base : BASES) {
             SimulatedCluster cluster = cluster();
-            cluster.onBoot(agent -> agent.startNumbersAt(1, base.longValue()));
+            setUp.accept(cluster, base);
             cluster.run(Duration.ofSeconds(15));
-            assertWorksThroughFailures(cluster, "messages from " + base);
+            assertWorksThroughFailures(cluster, numbers + " from " + base);
         }
     }
 
+    /** Guards against agents whose every heartbeat is refused, so that no task runs, because its number is too large. */
+    @Test
+    void agentsMayNumberTheirMessagesUpToTheLimit() {
+        assertWorksFromEachBase(
+                "messages", (cluster, base) -> cluster.onBoot(agent -> agent.startNumbersAt(1, base.longValue())));
+    }
+
     /** Guards against agents whose epoch is refused, or whose new epoch counts as an old one and keeps lost tasks. */
     @Test
     void agentEpochsMayGrowUpToTheLimit() {
-        for (BigInteger base : BASES) {
-            SimulatedCluster cluster = cluster();
-            cluster.onBoot(agent -> agent.startNumbersAt(base.longValue(), 0));
-            cluster.run(Duration.ofSeconds(15));
-            assertWorksThroughFailures(cluster, "epochs from " + base);
-        }
+        assertWorksFromEachBase(
+                "epochs", (cluster, base) -> cluster.onBoot(agent -> agent.startNumbersAt(base.longValue(), 0)));
     }
 
     /** Guards against revisions that wrap: records that count as outdated, failed conditions, and a watch of the past. */
     @Test
     void revisionsOfTheStateStoreMayGrowUpToTheLimit() {
-        for (BigInteger base : BASES) {
-            SimulatedCluster cluster = cluster();
-            cluster.store.startNumbersAt(base.longValue(), 0);
-            cluster.run(Duration.ofSeconds(15));
-            assertWorksThroughFailures(cluster, "revisions from " + base);
-        }
+        assertWorksFromEachBase("revisions", (cluster, base) -> cluster.store.startNumbersAt(base.longValue(), 0));
     }
 
     /** Guards against a lease that is renewed or revoked under another number, so that its controller is no member. */
     @Test
     void leasesOfTheStateStoreMayHaveNumbersUpToTheLimit() {
-        for (BigInteger base : BASES) {
-            SimulatedCluster cluster = cluster();
-            cluster.store.startNumbersAt(0, base.longValue());
-            cluster.run(Duration.ofSeconds(15));
-            assertWorksThroughFailures(cluster, "leases from " + base);
-        }
+        assertWorksFromEachBase("leases", (cluster, base) -> cluster.store.startNumbersAt(0, base.longValue()));
     }
 
     /** Guards against a fencing token that agents refuse, because it wrapped or because they report it back. */
     @Test
     void fencingTokensMayGrowUpToTheLimit() {
-        for (BigInteger base : BASES) {
-            SimulatedCluster cluster = cluster();
-            putInStore(cluster, StoreKeys.FENCING_TOKEN, Cbor.map().put("epoch", base));
-            cluster.run(Duration.ofSeconds(15));
-            assertWorksThroughFailures(cluster, "tokens from " + base);
-        }
+        assertWorksFromEachBase(
+                "tokens",
+                (cluster, base) ->
+                        putInStore(cluster, StoreKeys.FENCING_TOKEN, Cbor.map().put("epoch", base)));
     }
 
     /** Guards against attempts whose number changes on its way to the agent and back, so that their end is not seen. */
--- a/src/test/java/org/gullway/coordination/agents/AgentReconcilerFixture.java
+++ b/src/test/java/org/gullway/coordination/agents/AgentReconcilerFixture.java
@@ -41,8 +41,13 @@
     }
 
     Heartbeat heartbeat(long agentEpoch, long fencingToken, Duration notice, TaskStatus... tasks) {
+        return heartbeatOf("vm-1", agentEpoch, fencingToken, notice, List.of(tasks));
+    }
+
+    private Heartbeat heartbeatOf(
+            String machine, long agentEpoch, long fencingToken, Duration notice, List<TaskStatus> tasks) {
         return new Heartbeat(
-                "vm-1",
+                machine,
                 "10.1.0.1:9000",
                 "large",
                 "a",
@@ -51,7 +56,7 @@
                 Count.of(++sequence),
                 Count.of(fencingToken),
                 notice,
-                List.of(tasks));
+                tasks);
     }
 
     /** Runs one scheduling cycle's steps for agents and completions, and commits the transaction. */
@@ -86,19 +91,7 @@
     }
 
     void sendHeartbeatWithoutTasks(String machine) {
-        reconciler.onHeartbeat(
-                new Heartbeat(
-                        machine,
-                        "10.1.0.1:9000",
-                        "large",
-                        "a",
-                        true,
-                        Count.ONE,
-                        Count.of(++sequence),
-                        Count.ONE,
-                        null,
-                        List.of()),
-                now);
+        reconciler.onHeartbeat(heartbeatOf(machine, 1, 1, null, List.of()), now);
     }
 
     /** Sends a heartbeat that lists a failed attempt of this task of each job. */
@@ -106,19 +99,7 @@
         List<TaskStatus> tasks = Stream.of(jobs)
                 .map(job -> new TaskStatus(new TaskId(job, task), Count.of(task + 1), Phase.ENDED, Cause.ERROR, false))
                 .toList();
-        reconciler.onHeartbeat(
-                new Heartbeat(
-                        machine,
-                        "10.1.0.1:9000",
-                        "large",
-                        "a",
-                        true,
-                        Count.ONE,
-                        Count.of(++sequence),
-                        Count.ONE,
-                        null,
-                        tasks),
-                now);
+        reconciler.onHeartbeat(heartbeatOf(machine, 1, 1, null, tasks), now);
         reconciler.commandsDue(now);
     }
 }
--- a/src/test/java/org/gullway/coordination/agents/MachineLifecycleTest.java
+++ b/src/test/java/org/gullway/coordination/agents/MachineLifecycleTest.java
@@ -4,7 +4,6 @@
 
 import java.time.Duration;
 import java.time.Instant;
-import java.util.List;
 import org.gullway.coordination.command.CommandOutcome;
 import org.gullway.coordination.model.MachineRecord;
 import org.gullway.coordination.model.MachineRecord.MachineLifecycle;
@@ -12,7 +11,6 @@
 import org.gullway.coordination.model.TestFixtures;
 import org.gullway.coordination.model.Transaction;
 import org.gullway.protocol.Count;
-import org.gullway.protocol.Heartbeat;
 import org.gullway.protocol.JobRequest;
 import org.gullway.protocol.Priority;
 import org.gullway.protocol.TaskStatus;
@@ -35,19 +33,7 @@
         place(TestFixtures.request("run-000001", "red", Priority.NORMAL, 1, 4), "vm-1");
         for (int i = 0; i < 5; i++) {
             reconciler.onHeartbeat(heartbeat(1, 1, null), now);
-            reconciler.onHeartbeat(
-                    new Heartbeat(
-                            "vm-2",
-                            "10.1.0.2:9000",
-                            "large",
-                            "a",
-                            true,
-                            Count.ONE,
-                            Count.of(++sequence),
-                            Count.ONE,
-                            null,
-                            List.of()),
-                    now);
+            sendHeartbeatWithoutTasks("vm-2");
             Instant sentAt = now;
             now = now.plusSeconds(3);
             reconciler.commandsDue(sentAt).stream()
